--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -22,6 +22,9 @@
 /// How far the module's clock has gone at the start: upstreams may have started before this balancer.
 const BEFORE_START: Duration = Duration::from_secs(3600);
 
+/// How often the log says how the balancer stands.
+const STANDING_EVERY: Duration = Duration::from_secs(5);
+
 /// The module's clock: it only goes forward, from an hour before the start.
 struct Clock {
     start: Instant,
@@ -92,11 +95,24 @@
     attempts: Vec<Attempt>,
 }
 
+/// What has become of requests and attempts since the last line that said so.
+#[derive(Debug, Default)]
+struct Tally {
+    asked: u32,
+    served: u32,
+    refused: u32,
+    failed: u32,
+    gone: u32,
+    /// Attempts that ended without an answer.
+    lost: u32,
+}
+
 struct Core {
     balancer: Balancer,
     requests: FxHashMap<RequestId, Held>,
     actions: Vec<Action>,
     next_id: u32,
+    tally: Tally,
 }
 
 /// The driver of one `Balancer`.
@@ -115,7 +131,13 @@
     /// A driver with the list of upstreams known before the start.
     pub fn start(balancer: Balancer, upstreams: Upstreams, discovery: Discovery, known: News) -> Rc<Self> {
         let start_unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let core = Core { balancer, requests: FxHashMap::default(), actions: Vec::new(), next_id: 0 };
+        let core = Core {
+            balancer,
+            requests: FxHashMap::default(),
+            actions: Vec::new(),
+            next_id: 0,
+            tally: Tally::default(),
+        };
         let driver = Rc::new(Self {
             clock: Clock { start: Instant::now(), start_unix },
             core: RefCell::new(core),
@@ -127,6 +149,8 @@
         });
         let sweeper = Rc::clone(&driver);
         spawn_local(async move { sweeper.upstreams.sweep().await });
+        let teller = Rc::clone(&driver);
+        spawn_local(async move { teller.tell_standing().await });
         driver.happened(Happening::Fleet(known));
         driver
     }
@@ -148,6 +172,16 @@
         Pending { driver: Rc::clone(self), id, answer: Some(answer) }
     }
 
+    /// Logs how the balancer stands, again and again.
+    async fn tell_standing(&self) {
+        loop {
+            sleep(STANDING_EVERY).await;
+            let core = &mut *self.core.borrow_mut();
+            let (tally, standing) = (std::mem::take(&mut core.tally), core.balancer.standing());
+            tracing::info!(held = core.requests.len(), ?tally, ?standing);
+        }
+    }
+
     /// Ends all attempts that are out, and each that may follow, so that the module gives what it holds its
     /// final answer: the process is about to end.
     pub fn cut_off(&self) {
@@ -180,6 +214,7 @@
             }
             Happening::Asked(id) => {
                 let Some(held) = core.requests.get(&id) else { return };
+                core.tally.asked += 1;
                 let asked = &held.asked;
                 let event = Event::Request {
                     id,
@@ -189,6 +224,8 @@
                     work_ms: asked.work_ms,
                     repeat: asked.repeat,
                 };
+                let (class, tenant) = (asked.class.0, asked.tenant.0);
+                tracing::debug!(id = id.0, class, tenant, repeat = asked.repeat, "asked");
                 core.balancer.handle(now, event, &mut actions);
             }
             Happening::AttemptEnded(id, no, ended) => {
@@ -198,12 +235,14 @@
                     return;
                 };
                 attempt.out = false;
+                core.tally.lost += u32::from(ended.outcome != Outcome::Ok);
                 let (upstream, latency) = (attempt.upstream, attempt.sent.elapsed());
                 tracing::debug!(id = id.0, no = no.0, upstream = upstream.0, ?latency, outcome = ?ended.outcome);
                 // A second copy's answer comes to a request that is over: it is dropped.
                 if let Some(served) = ended.served
                     && let Some(reply) = held.reply.take()
                 {
+                    core.tally.served += 1;
                     // Where the client has just gone, nobody waits for it.
                     let _ = reply.send(Answer::Served(served));
                 }
@@ -228,6 +267,7 @@
             Happening::Gone(id) => {
                 let Some(held) = core.requests.get_mut(&id) else { return };
                 if held.reply.take().is_some() {
+                    core.tally.gone += 1;
                     core.balancer.handle(now, Event::RequestGone { id }, &mut actions);
                 }
                 self.forget_if_over(core, id);
@@ -335,6 +375,17 @@
 
     fn answer(&self, core: &mut Core, id: RequestId, answer: Answer) {
         if let Some(reply) = core.requests.get_mut(&id).and_then(|held| held.reply.take()) {
+            match answer {
+                Answer::Served(_) => core.tally.served += 1,
+                Answer::Refused(retry_after) => {
+                    tracing::debug!(id = id.0, ?retry_after, "refused");
+                    core.tally.refused += 1;
+                }
+                Answer::Failed => {
+                    tracing::debug!(id = id.0, "failed");
+                    core.tally.failed += 1;
+                }
+            }
             let _ = reply.send(answer);
         }
         self.forget_if_over(core, id);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -179,6 +179,22 @@
         self.ring.len() + self.index.len() + self.requests.len() + self.due.len()
     }
 
+    /// How it stands now.
+    pub fn standing(&self) -> Standing {
+        let turns = || self.turns.iter().map(|j| &self.ring[*j]);
+        let cold = turns().filter(|u| u.started.is_some()).count();
+        let ejected = turns().filter(|u| u.ejected_until > self.at).count();
+        Standing {
+            room: self.room,
+            rate: self.rate * turns().map(|u| u.weight).sum::<f64>(),
+            busy: self.busy,
+            latency: self.latency(),
+            demand: self.buckets.iter().map(|b| b.demand).sum(),
+            in_flight: self.ring.iter().map(|u| u.in_flight).sum(),
+            turns: (self.turns.len(), cold, ejected),
+        }
+    }
+
     /// Takes in one event and adds what is to be done about it.
     pub fn handle(&mut self, now: Duration, event: Event<'_>, actions: &mut Vec<Action>) {
         std::mem::swap(&mut self.out, actions);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -537,3 +537,22 @@
         line: String,
     },
 }
+
+/// How a balancer stands: what its decisions go by, for the operators' log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Standing {
+    /// Free room W, in requests; under nil where more is held than there is room for.
+    pub room: f64,
+    /// What the upstreams that take turns are believed to do together, in requests a second.
+    pub rate: f64,
+    /// Share of their cores in use, by their reports.
+    pub busy: f64,
+    /// Mean time of an attempt in seconds, over the classes as they are admitted.
+    pub latency: f64,
+    /// Requests a second that are asked for.
+    pub demand: f64,
+    /// Attempts out.
+    pub in_flight: u32,
+    /// Upstreams that take turns, those of them still held cold, and those ejected.
+    pub turns: (usize, usize, usize),
+}
