Tell an unreadable answer from a broken connection

At 3.2 s 4 of 8 are ejected and 4 held cold; at 4.2 s 6 are ejected and all 8 are cold, and they stay cold to the end while demand climbs from 270 to 900 a second with the retries. The 87 attempts that ended as resets begin at 2.6 s, one every few tens of milliseconds, and none was a broken connection: "invalid HTTP version", "invalid content-length", "message head is too large", "error reading a body". Followed by its id, request 895 went to a server that had answered all before, got an unreadable answer after 167 ms, ended as a reset, and the server was ejected 1.5 s and held cold for 23 s.

Ruled out: busy servers (util 0.3 to 0.5), the balancer's own time (90 us to the first attempt), connections (106 at once, limit of 162).

At fault: Upstreams::attempt in node/src/upstream.rs took every error of the exchange for the end of the connection. The module rightly treats a reset as the death of a process; an answer that can't be read is a failed attempt that may have run, of a process that lives. It ends as an error now, and the log names it.

--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -124,6 +124,7 @@
     reports: Reports,
     report_fields: Vec<LoadField>,
     odd_reports: Seldom,
+    odd_answers: Seldom,
 }
 
 impl Upstreams {
@@ -138,6 +139,7 @@
             reports: settings.reports,
             report_fields: settings.report_fields.clone(),
             odd_reports: Seldom::default(),
+            odd_answers: Seldom::default(),
         }
     }
 
@@ -275,9 +277,14 @@
                     }
                     return self.answered(response);
                 }
+                // Its process lives and has answered, so that this is no broken connection.
+                Ok(Err(Broken::Unreadable(e))) => {
+                    self.odd_answers.warn(|| format!("unreadable answer of upstream {}: {e}", id.0));
+                    return Outcome::Error.into();
+                }
                 // It had ended unseen while idle. Nothing of the request has left: another is taken.
-                Ok(Err(_)) if reused && written == 0 => {}
-                Ok(Err(e)) => {
+                Ok(Err(Broken::Ended(_))) if reused && written == 0 => {}
+                Ok(Err(Broken::Ended(e))) => {
                     tracing::debug!(upstream = id.0, written, length, "broken: {e}");
                     return if written < length { Outcome::ConnectFailed } else { Outcome::Reset }.into();
                 }
@@ -349,14 +356,25 @@
     request
 }
 
+/// Why an exchange has no answer.
+enum Broken {
+    /// The connection ended without one.
+    Ended(hyper::Error),
+    /// The upstream answered, with something that can't be read.
+    Unreadable(Box<dyn std::error::Error + Send + Sync>),
+}
+
 /// One request and its whole answer.
 async fn exchange(
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
-) -> Result<Response<Bytes>, Box<dyn std::error::Error + Send + Sync>> {
-    let (parts, body) = connection.send(request).await?.into_parts();
-    let body = Limited::new(body, BODY_MOST).collect().await?.to_bytes();
-    Ok(Response::from_parts(parts, body))
+) -> Result<Response<Bytes>, Broken> {
+    let response = connection.send(request).await;
+    let response =
+        response.map_err(|e| if e.is_parse() { Broken::Unreadable(e.into()) } else { Broken::Ended(e) })?;
+    let (parts, body) = response.into_parts();
+    let body = Limited::new(body, BODY_MOST).collect().await.map_err(Broken::Unreadable)?;
+    Ok(Response::from_parts(parts, body.to_bytes()))
 }
 
 #[cfg(test)]
@@ -408,6 +426,35 @@
         assert_eq!(stream.read(&mut [0; 1024]).await.unwrap_or(0), 0, "nothing more came");
     }
 
+    /// Guards against taking out an upstream whose process lives: only a connection that ends without an
+    /// answer is a reset. What can't be read may have run all the same.
+    #[tokio::test(flavor = "local")]
+    async fn an_unreadable_answer_is_an_error_and_a_missing_one_a_reset() {
+        let (upstreams, listener, _) = upstreams(8).await;
+        let long = format!("HTTP/1.1 200 OK\r\nX-Long: {}\r\n\r\n", "y".repeat(64 * 1024));
+        for (answer, outcome) in [
+            ("", Outcome::Reset),
+            ("HTTP/9.9 200 OK\r\nContent-Length: 0\r\n\r\n", Outcome::Error),
+            ("HTTP/1.1 abc OK\r\nContent-Length: 0\r\n\r\n", Outcome::Error),
+            ("HTTP/1.1 200 OK\r\nContent-Length: few\r\n\r\n", Outcome::Error),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nhalf", Outcome::Error),
+            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", Outcome::Error),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", Outcome::Error),
+            (&long, Outcome::Error),
+        ] {
+            let respond = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+                // The balancer may close as soon as it has seen enough.
+                let _ = stream.write_all(answer.as_bytes()).await;
+            };
+            let request = outgoing();
+            let (ended, ()) = tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), respond);
+            assert_eq!(ended.outcome, outcome, "{:?}", &answer[..answer.len().min(60)]);
+            assert!(ended.served.is_none());
+        }
+    }
+
     /// Guards against the moment between an upstream's close and this process's look at it.
     #[tokio::test(flavor = "local")]
     async fn a_connection_that_has_just_been_closed_is_not_written_to() {
