--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -237,7 +237,8 @@
                 attempt.out = false;
                 core.tally.lost += u32::from(ended.outcome != Outcome::Ok);
                 let (upstream, latency) = (attempt.upstream, attempt.sent.elapsed());
-                tracing::debug!(id = id.0, no = no.0, upstream = upstream.0, ?latency, outcome = ?ended.outcome);
+                let (outcome, report) = (ended.outcome, &ended.report);
+                tracing::debug!(id = id.0, no = no.0, upstream = upstream.0, ?latency, ?outcome, ?report);
                 // A second copy's answer comes to a request that is over: it is dropped.
                 if let Some(served) = ended.served
                     && let Some(reply) = held.reply.take()
