Eject a server for several broken connections in a row, not for one

`turns` goes from (8, 0, 0) to (8, 6, 6) in one second and stays at 8 cold and 5 to 8 ejected. Request 520 met it twice within 0.2 ms, at two servers, and took both out.

Ruled out: connections gone stale while idle (as many resets on new ones), unreadable answers (mended before; they end as errors here), full servers (W 20 to 40 requests, util under 0.5), the balancer's own time (90 us).

At fault: `learn` in src/choice.rs took one reset for the death of a process. It ejected the server for all classes and put it back as cold, at an eighth of its turns, for the whole cold time. A process that has died breaks every connection and answers nothing: three in a row without an answer between now say so. And only one that can't be connected to is held cold after; one that took the connections has not restarted.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -68,6 +68,9 @@
 /// share of its aim: not so under overload, when all are slow and leaving some makes it worse.
 const HEARD_OF: f64 = 3.0;
 const QUICK: f64 = 0.5;
+/// Connections broken in a row, with no answer between, after which an upstream is ejected for all: a process
+/// that has died breaks every one, a poor way there one now and then.
+const BREAKS: u32 = 3;
 /// Seconds of the first ejection; each one more without a success doubles it, three times at most.
 const EJECT: f64 = 1.5;
 /// Share of the ready upstreams that may be ejected: when more seem ill, the fault is not theirs.
@@ -677,12 +680,21 @@
             }
         }
         match outcome {
-            Outcome::ConnectFailed | Outcome::Reset if u.ejected_until <= self.at => {
+            Outcome::ConnectFailed | Outcome::Reset => u.breaks += 1,
+            Outcome::Ok | Outcome::Error | Outcome::Rejected => u.breaks = 0,
+            _ => {}
+        }
+        match outcome {
+            Outcome::ConnectFailed | Outcome::Reset if u.breaks >= BREAKS && u.ejected_until <= self.at => {
                 let length = EJECT * f64::from(1 << u.ejections.min(3));
                 u.ejections += 1;
                 u.ejected_until = self.at + length * (0.75 + 0.5 * self.rng.f64());
-                // Back as if cold, from a first turn at a random time: a slow trial by all balancers.
-                u.started = Some(u.ejected_until);
+                // Nobody listens there: its process has died, and the next one is cold. It is back from a first
+                // turn at a random time: a slow trial by all balancers. One that takes connections, if only to
+                // break them, has not restarted and has no less to give.
+                if outcome == Outcome::ConnectFailed {
+                    u.started = Some(u.ejected_until);
+                }
                 u.credit = self.rng.f64();
                 u.fresh = true;
                 self.choose_at = self.at;
@@ -787,6 +799,7 @@
             if let Some(s) = started.filter(fresh) {
                 // It has restarted: what was held against it is void, and it is cold.
                 u.started = Some(s);
+                u.breaks = 0;
                 (u.ejections, u.ejected_until, u.credit) = (0, 0.0, self.rng.f64());
                 u.health.fill(Health::default());
                 (u.fresh, changed) = (true, true);
--- a/src/state.rs
+++ b/src/state.rs
@@ -19,8 +19,9 @@
     pub(crate) ghosts: f64, // given up, and perhaps still at work there; fading over the shortest aim
     pub(crate) held: f64,   // what others hold there, by the latest report
     pub(crate) held_at: f64,
-    pub(crate) pace: f64, // mean of latency over what is usual for the class
-    pub(crate) seen: f64, // answers behind it, fading
+    pub(crate) pace: f64,   // mean of latency over what is usual for the class
+    pub(crate) seen: f64,   // answers behind it, fading
+    pub(crate) breaks: u32, // connections broken in a row, since the last answer
     pub(crate) ejections: u32,
     pub(crate) ejected_until: f64,
     pub(crate) health: Vec<Health>, // by class
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -55,6 +55,30 @@
     assert!(bench.attempts_at(bad) > early + 50, "it serves again after it has recovered");
 }
 
+/// Connections that break now and then, everywhere, between answers: no process has died, so all stay in turn.
+#[test]
+fn single_broken_connections_eject_nobody() {
+    for outcome in [Outcome::Reset, Outcome::ConnectFailed] {
+        let mut bench = Bench::new(settings(Effect::Idempotent), &fleet(4));
+        for round in 0..50 {
+            let count = std::cell::Cell::new(0);
+            let nth = |_| {
+                count.set(count.get() + 1);
+                Some(if count.get() == 1 { outcome } else { Outcome::Ok })
+            };
+            bench.traffic(12, ms(10), nth);
+            let standing = bench.balancer.standing();
+            assert_eq!(
+                standing.turns,
+                (4, 0, 0),
+                "in turn, cold, ejected after {round} rounds of {outcome:?}"
+            );
+        }
+        let refused = bench.answers.values().filter(|a| **a != "served").count();
+        assert_eq!(refused, 0, "of 600 after {outcome:?}");
+    }
+}
+
 /// Takes connections and never answers.
 #[test]
 fn one_that_never_answers_is_passed_over() {
