--- a/src/choice.rs
+++ b/src/choice.rs
@@ -689,9 +689,9 @@
                 let length = EJECT * f64::from(1 << u.ejections.min(3));
                 u.ejections += 1;
                 u.ejected_until = self.at + length * (0.75 + 0.5 * self.rng.f64());
-                // Nobody listens there: its process has died, and the next one is cold. It is back from a first
-                // turn at a random time: a slow trial by all balancers. One that takes connections, if only to
-                // break them, has not restarted and has no less to give.
+                // Nobody listens there: its process has died, and the next one is cold. It comes back
+                // from a first turn at a random time: a slow trial by all balancers. One that takes
+                // connections, if only to break them, has not restarted and has no less to give.
                 if outcome == Outcome::ConnectFailed {
                     u.started = Some(u.ejected_until);
                 }
