Eject for broken connections only a server that has fallen silent too

A run by chance takes tens of milliseconds, as resets come back at once and answers only after 200 ms.

At fault: the run alone is no proof that the process has died. It is now also asked that the server has answered nothing for as long as an answer takes on average, which a live one in use does not reach.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -68,8 +68,8 @@
 /// share of its aim: not so under overload, when all are slow and leaving some makes it worse.
 const HEARD_OF: f64 = 3.0;
 const QUICK: f64 = 0.5;
-/// Connections broken in a row, with no answer between, after which an upstream is ejected for all: a process
-/// that has died breaks every one, a poor way there one now and then.
+/// Connections broken in a row after which an upstream is ejected for all, if it has also answered nothing
+/// for as long as an answer takes: a process that has died breaks every one, a poor way there a few.
 const BREAKS: u32 = 3;
 /// Seconds of the first ejection; each one more without a success doubles it, three times at most.
 const EJECT: f64 = 1.5;
@@ -659,7 +659,9 @@
         }
         let out = self.turns.iter().filter(|j| self.ring[**j].health[class].ejected).count() + 1;
         let out = out as f64 <= EJECTED_MOST * self.turns.len() as f64;
+        let usual = self.latency();
         let Some(u) = self.index.get(&id).map(|j| &mut self.ring[*j]) else { return };
+        let heard = u.health.iter().map(|h| h.answered).fold(f64::NEG_INFINITY, f64::max);
         u.used_at = self.at;
         u.in_flight = u.in_flight.saturating_sub(1);
         u.overdue = u.overdue.saturating_sub(u32::from(overdue));
@@ -685,7 +687,9 @@
             _ => {}
         }
         match outcome {
-            Outcome::ConnectFailed | Outcome::Reset if u.breaks >= BREAKS && u.ejected_until <= self.at => {
+            Outcome::ConnectFailed | Outcome::Reset
+                if u.breaks >= BREAKS && u.ejected_until <= self.at && heard + usual < self.at =>
+            {
                 let length = EJECT * f64::from(1 << u.ejections.min(3));
                 u.ejections += 1;
                 u.ejected_until = self.at + length * (0.75 + 0.5 * self.rng.f64());
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -79,6 +79,27 @@
     }
 }
 
+/// Three in a row by chance, at one that has just answered and goes on answering: its process has not died.
+#[test]
+fn a_run_of_broken_connections_between_answers_ejects_nobody() {
+    let tenants = vec![Tenant { allowance_per_s: 1000.0 }];
+    let mut bench = Bench::new(Settings { tenants, ..settings(Effect::Idempotent) }, &fleet(2));
+    bench.traffic(20, ms(20), |_| Some(Outcome::Ok));
+    let mut open: Vec<(RequestId, UpstreamId)> = Vec::new();
+    for _ in 0..12 {
+        let id = bench.request(0, 0, ms(1000));
+        open.push((id, bench.at(id, 0).expect("room for a dozen")));
+    }
+    bench.run(ms(20));
+    let (of_one, others): (Vec<_>, Vec<_>) = open.into_iter().partition(|(_, u)| *u == UpstreamId(1));
+    assert!(of_one.len() > 4);
+    bench.ended(of_one[0].0, 0, Outcome::Ok);
+    of_one[1..4].iter().for_each(|(id, _)| bench.ended(*id, 0, Outcome::Reset));
+    bench.run(ms(20));
+    of_one[4..].iter().chain(&others).for_each(|(id, _)| bench.ended(*id, 0, Outcome::Ok));
+    assert_eq!(bench.balancer.standing().turns, (2, 0, 0), "in turn, cold, ejected");
+}
+
 /// Takes connections and never answers.
 #[test]
 fn one_that_never_answers_is_passed_over() {
