--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -225,7 +225,8 @@
                     repeat: asked.repeat,
                 };
                 let (class, tenant) = (asked.class.0, asked.tenant.0);
-                tracing::debug!(id = id.0, class, tenant, repeat = asked.repeat, "asked");
+                let left = asked.deadline.saturating_duration_since(Instant::now());
+                tracing::debug!(id = id.0, class, tenant, ?left, repeat = asked.repeat, "asked");
                 core.balancer.handle(now, event, &mut actions);
             }
             Happening::AttemptEnded(id, no, ended) => {
