Let go of peers that send no whole request within 2.5 s

Four such peers against the inherited balancer (nothing, half a request line, half a head, half a body) were still open after 20 s: the new test waits that long in vain with the old limit.

Lines at fault: HEAD_TIMEOUT in node/src/server.rs was 60 s, and a body was waited for as long as the peer said that it would wait, an hour at most. Both now end after 2.5 s, as the terms allow for a connection without a request from 2 s on. A body gets 408 and the connection is closed.

The tests' client sends a request once more on a new connection where the old one was closed between requests, as the protocol says of clients: on a busy machine a test may leave it idle for longer than that.

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -31,8 +31,9 @@
 const ON_THE_WAY: Duration = Duration::from_millis(4);
 /// The longest time left that is believed.
 const TIME_LEFT_MOST: u64 = 3_600_000;
-/// A connection on which no head comes for so long is closed.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+/// A connection on which no whole head, or not all of a body, comes for so long is closed: a peer that sends no
+/// proper request is owed an error or a close within 3 s of connecting.
+const READ_TIMEOUT: Duration = Duration::from_millis(2500);
 /// How long a connection that is to end may take over the rest of an answer, or of a head it has begun.
 const LINGER: Duration = Duration::from_millis(250);
 /// Pause after an accept has failed: when descriptors have run out, trying at once only spins.
@@ -165,7 +166,7 @@
             }
         });
         let mut builder = http1::Builder::new();
-        builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(BUFFER);
+        builder.timer(TokioTimer::new()).header_read_timeout(READ_TIMEOUT).max_buf_size(BUFFER);
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         let close = async {
@@ -251,12 +252,13 @@
         if body.size_hint().lower() > BODY_MOST as u64 {
             return Err(TOO_LONG);
         }
-        let body = match timeout_at(came + left, Limited::new(body, BODY_MOST).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => return Err(TOO_LONG),
-            Ok(Err(_)) => return Err(Unfit(StatusCode::BAD_REQUEST, "the body broke off")),
-            Err(_) => return Err(Unfit(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
-        };
+        let body =
+            match timeout_at(came + left.min(READ_TIMEOUT), Limited::new(body, BODY_MOST).collect()).await {
+                Ok(Ok(body)) => body.to_bytes(),
+                Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => return Err(TOO_LONG),
+                Ok(Err(_)) => return Err(Unfit(StatusCode::BAD_REQUEST, "the body broke off")),
+                Err(_) => return Err(Unfit(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
+            };
         headers::strip_hop_by_hop(&mut headers);
         let target = parts.uri.path_and_query().map(|p| hyper::Uri::from(p.clone())).unwrap_or_default();
         let outgoing = Outgoing { method, target, headers, body };
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! The balancer as a process, and small peers for it on loopback. Ports are the system's choice; waits are on
 //! conditions, up to `LONG`.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -258,9 +258,7 @@
 
 impl Node {
     pub fn connect(&self) -> Client {
-        let stream = TcpStream::connect(self.address).unwrap();
-        stream.set_read_timeout(Some(LONG)).unwrap();
-        Client { reader: BufReader::new(stream) }
+        Client { reader: open(self.address) }
     }
 
     pub fn terminate(&self) {
@@ -300,6 +298,12 @@
     }
 }
 
+fn open(address: SocketAddr) -> BufReader<TcpStream> {
+    let stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    BufReader::new(stream)
+}
+
 /// A client's connection.
 pub struct Client {
     reader: BufReader<TcpStream>,
@@ -315,11 +319,25 @@
         Message::read(&mut self.reader)
     }
 
+    /// As clients do, it sends a request once more where the connection was closed between requests.
     pub fn exchange(&mut self, text: &str) -> Message {
+        let peer = self.reader.get_ref().peer_addr();
+        if self.reader.get_mut().write_all(text.as_bytes()).is_ok()
+            && let Some(answer) = self.answer()
+        {
+            return answer;
+        }
+        self.reader = open(peer.expect("a connection that has been open"));
         self.write(text);
         self.answer().expect("an answer")
     }
 
+    /// Whether the other side has closed the connection, or does so within `LONG`.
+    pub fn is_open_no_more(&mut self) -> bool {
+        let waited = self.reader.read(&mut [0; 1]);
+        !waited.is_err_and(|e| matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut))
+    }
+
     /// Whether the connection ends with nothing more on it.
     pub fn ends(&mut self) -> bool {
         let mut rest = Vec::new();
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -261,6 +261,28 @@
     assert_eq!(node.connect().exchange(&look(8000)).status(), 200);
 }
 
+/// Guards against peers that connect and send nothing, or stop in the middle: each gets an error or a close soon,
+/// however long it says that it would wait.
+#[test]
+fn peers_that_send_no_whole_request_are_let_go() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let node = Setup::with(&[upstream.address]).start();
+    let body = book(60_000, "half").replace("Content-Length: 4", "Content-Length: 9");
+    let mut peers: Vec<Client> = Vec::new();
+    for text in ["", "POST /book/day HT", "POST /book/day HTTP/1.1\r\nHost: app.svc\r\n", &body] {
+        let mut peer = node.connect();
+        peer.write(text);
+        peers.push(peer);
+    }
+    for (k, peer) in peers.iter_mut().enumerate() {
+        // Reading fails after `LONG`, a third of what the last one says that it would wait.
+        let answer = peer.answer();
+        let error = answer.as_ref().is_none_or(|a| (400..500).contains(&a.status()));
+        assert!(error && peer.is_open_no_more(), "peer {k}: {answer:?}");
+    }
+    assert!(upstream.seen().is_empty());
+}
+
 /// Guards what was taken before the end: SIGTERM turns ready to 503, connections end with their next answer,
 /// what is still unanswered gets its final answer, and the process ends by itself.
 #[test]
