Keep C no lower than what is completed while the cores have room

Evidence (standing, each second): at 14.2 s 654 requests are served in the second, `rate` is 444 and `room` -8; two seconds later 635 and 541.

At fault: `grant` in src/choice.rs divides completions, smoothed over 2 s, by how busy the cores are, and smooths the quotient over 2 s once more, so that C stays under the completions themselves for some 4 s after a rise. W comes out under nil, and the refusals come back as retries. C is now not under the smoothed completions, unless the cores are busier than allowed.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -318,7 +318,8 @@
             let busy = BUSY + BUSY_MORE * self.set.over_share_worth.min(0.5);
             // A rate once reached under load would go on admitting what turns a crowded upstream slow.
             let able = seen * (busy / self.busy.max(0.1)).min(2.0);
-            self.rate += (tau / RATE_OVER).min(1.0) * (able - self.rate);
+            // Nor is it under what they do now, if that keeps them no busier.
+            self.rate = (self.rate + (tau / RATE_OVER).min(1.0) * (able - self.rate)).max(seen.min(able));
             within = within.min(self.latency());
         } else {
             let over = if slack < 0.0 { RATE_OVER } else { RATE_KEPT };
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -139,3 +139,36 @@
     assert!(sent < 200, "{sent} of 400 sent into the jam");
     assert!(sent > 0, "some go on, to see whether it has passed");
 }
+
+/// Another balancer is lost: this one carries three times as much at once, while the upstreams say that they are
+/// no busier than before. What they are believed to do must keep up with what they are seen to do.
+#[test]
+fn the_rate_follows_what_is_done_while_the_cores_are_no_busier() {
+    let (reports, report_fields) = (Reports::Inline, vec![LoadField::Utilization]);
+    let mut bench = Bench::new(Settings { reports, report_fields, ..settings(2, &[200.0]) }, &fleet(4));
+    let (mut open, mut done) = (std::collections::VecDeque::new(), 0);
+    let mut play = |bench: &mut Bench, halves: u32, every: u64| {
+        let before = done;
+        for step in 0..halves * 125 {
+            if u64::from(step) % every == 0 {
+                let id = bench.request(0, 0, ms(1000));
+                open.extend(bench.at(id, 0).map(|_| (bench.now, id)));
+            }
+            while open.front().is_some_and(|(at, _)| bench.now >= *at + ms(80)) {
+                bench.ended(open.pop_front().unwrap().1, 0, Outcome::Ok);
+                done += 1;
+                let (upstream, outcome, latency) = (UpstreamId(1), Outcome::Ok, ms(1));
+                bench.tell(Event::ProbeEnded { upstream, outcome, latency, report: &[0.65] });
+            }
+            bench.run(ms(4));
+        }
+        f64::from(done - before) / f64::from(halves) * 2.0
+    };
+    let before = play(&mut bench, 16, 6);
+    let steady = bench.balancer.standing().rate;
+    assert!((before - 42.0).abs() < 3.0 && (steady - before).abs() < 8.0, "{before} done, {steady} believed");
+    let after = play(&mut bench, 3, 2);
+    let followed = bench.balancer.standing().rate;
+    assert!(after > 100.0, "{after} done a second");
+    assert!(followed > 0.6 * after, "{followed} believed where {after} are done a second");
+}
