Eject an upstream for errors or silence over all classes, not for each class alone

A balancer sends about 1.4 requests a second to an upstream, of four classes, and an ejection was for one class after two faults of that class in a row: 18 balancers times four classes each had to learn it anew, and one answer in four undid what was learned.

Ruled out: lists (no change told before second 6), new connections (none failed), and room (cores were 50 to 60% busy in second 3).

At fault: the per-class ejection in choice.rs, `learn`, the only one but for broken connections. Now every upstream carries a doubt over all classes. An error, a broken connection, or an overdue attempt since which nothing came back raises it; answers lower it; it fades. One in doubt gets one request at a time, none that can't be repeated; two faults in a row eject it for all classes, ever longer until it answers again. When most are ejected the subset keeps them, as the turns did already. The ejection for a class stays for what ails one class alone.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -62,15 +62,17 @@
 /// Seconds over which what was learned of one upstream fades, and answers it takes to believe it.
 const PACE_KEPT: f64 = 10.0;
 const PACE_DOUBT: f64 = 4.0;
-/// Faults in a row after which an upstream is ejected for the class that met them ...
+/// Faults in a row after which an upstream is ejected for the class that met them.
 const FAULTS: u32 = 2;
-/// ... or one, where the class had no answer there for these seconds while others answer it within this
-/// share of its aim: not so under overload, when all are slow and leaving some makes it worse.
-const HEARD_OF: f64 = 3.0;
-const QUICK: f64 = 0.5;
-/// Connections broken in a row after which an upstream is ejected for all, if it has also answered nothing
-/// for as long as an answer takes: a process that has died breaks every one, a poor way there a few.
-const BREAKS: u32 = 3;
+/// Doubt of an upstream, over all classes: part of what is left that an error, or an overdue attempt since
+/// which nothing came back, adds; the same of a broken connection; and what an answer leaves of it.
+const DOUBT: f64 = 0.4;
+const DOUBT_BREAK: f64 = 0.3;
+const DOUBT_LEFT: f64 = 0.6;
+/// Doubt from which one is sent to only to see how it is, one at a time and nothing that can't be repeated;
+/// and doubt at which it is ejected: two faults in a row, or three breaks where nothing came for a while.
+const DOUBTED: f64 = 0.35;
+const DOUBT_MOST: f64 = 0.6;
 /// Seconds of the first ejection; each one more without a success doubles it, three times at most.
 const EJECT: f64 = 1.5;
 /// Share of the ready upstreams that may be ejected: when more seem ill, the fault is not theirs.
@@ -91,8 +93,6 @@
 /// Share of the aim after which an attempt whose late answer is worth nothing is given up.
 const AIM_LEFT: f64 = 0.98;
 
-/// Weight of the newest in the mean latency of those answered.
-const ANSWERS_NEWEST: f64 = 0.1;
 /// What an attempt given up counts for as a latency, in the time it was waited for: it would take longer.
 const GIVEN_UP: f64 = 1.5;
 /// Seconds over which a class's latency is averaged where answers are few, and weight of one where not.
@@ -380,6 +380,7 @@
         for j in &self.turns {
             let u = &mut self.ring[*j];
             u.seen *= fade;
+            u.doubt *= fade;
             u.ghosts *= laid;
             let pace = (u.pace * u.seen + PACE_DOUBT) / (u.seen + PACE_DOUBT);
             let climb = u.started.map_or(1.0, |s| {
@@ -456,8 +457,12 @@
             oldest.into_iter().for_each(|j| self.ring[j].health[class].tried = self.at);
             return oldest;
         }
-        let all = out >= self.turns.len();
-        let fit = |b: &Self, j: usize| all || !b.ring[j].health[class].ejected;
+        let once = self.set.classes[class].effect == Effect::AtMostOnce;
+        let once = once && self.set.classes.iter().any(|c| c.effect != Effect::AtMostOnce);
+        let doubted = |u: &Upstream| u.doubt > DOUBTED && (once || u.in_flight > 0);
+        let all =
+            out >= self.turns.len() || self.turns.iter().all(|j| ill(self, *j) || doubted(&self.ring[*j]));
+        let fit = |b: &Self, j: usize| all || !(b.ring[j].health[class].ejected || doubted(&b.ring[j]));
         let mut sight = self.ahead.iter().filter(|j| fit(self, **j)).count();
         while sight < LOOK_AHEAD && self.ahead.len() < LOOK_AHEAD + self.turns.len() {
             let Some(j) = self.step() else { break };
@@ -569,7 +574,11 @@
         let Some(a) = r.attempts.get_mut(usize::from(attempt)).filter(|a| a.out) else { return };
         a.overdue = true;
         if let Some(&j) = self.index.get(&a.upstream) {
+            let silent = self.ring[j].heard < a.sent;
             self.ring[j].overdue += 1;
+            if silent {
+                self.suspect(j, DOUBT);
+            }
         }
         // Room for one: the overdue attempt itself is counted in what is held.
         if self.set.hedging && self.room > -1.0 {
@@ -629,18 +638,17 @@
     /// What one outcome tells of its upstream, its class and the fleet.
     fn learn(&mut self, id: UpstreamId, class: usize, outcome: Outcome, latency: f64, way: (bool, f64)) {
         let (overdue, idle) = way;
+        let slow = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) && overdue;
         let aim = self.set.classes[class].aim.as_secs_f64();
         let learned = &mut self.classes[class];
         let ratio = latency / learned.latency.max(1e-6);
         let ok = outcome == Outcome::Ok;
         if ok {
             self.done += 1.0;
-            learned.answers += ANSWERS_NEWEST * (latency - learned.answers);
             learned.usual *=
                 if latency > learned.usual { 1.0 + 0.05 * USUAL } else { 1.0 - 0.05 * (1.0 - USUAL) };
             learned.usual = learned.usual.clamp(2.0 * TICK, aim);
         }
-        let slow = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) && overdue;
         if ok || slow {
             let latency = if ok { latency.min(2.0 * aim) } else { (GIVEN_UP * latency).min(2.0 * aim) };
             let newest = ((self.at - learned.at) / LATENCY_OVER).clamp(LATENCY_NEWEST, 0.2);
@@ -660,9 +668,8 @@
         }
         let out = self.turns.iter().filter(|j| self.ring[**j].health[class].ejected).count() + 1;
         let out = out as f64 <= EJECTED_MOST * self.turns.len() as f64;
-        let usual = self.latency();
-        let Some(u) = self.index.get(&id).map(|j| &mut self.ring[*j]) else { return };
-        let heard = u.health.iter().map(|h| h.answered).fold(f64::NEG_INFINITY, f64::max);
+        let Some(&j) = self.index.get(&id) else { return };
+        let u = &mut self.ring[j];
         u.used_at = self.at;
         u.in_flight = u.in_flight.saturating_sub(1);
         u.overdue = u.overdue.saturating_sub(u32::from(overdue));
@@ -672,37 +679,18 @@
             u.pace += (ratio - u.pace) / u.seen.max(1.0);
         }
         let (h, l) = (&mut u.health[class], &mut self.classes[class]);
-        if ok {
-            (h.faults, h.answered) = (0, self.at);
-            if !overdue {
-                u.ejections = 0;
-                if std::mem::take(&mut h.ejected) {
-                    // What ailed it may have been the others' trouble too: they are tried at once.
-                    (l.trials, l.trial_at) = (0, self.at);
-                }
-            }
+        if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Rejected) {
+            u.heard = self.at;
         }
         match outcome {
-            Outcome::ConnectFailed | Outcome::Reset => u.breaks += 1,
-            Outcome::Ok | Outcome::Error | Outcome::Rejected => u.breaks = 0,
-            _ => {}
-        }
-        match outcome {
-            Outcome::ConnectFailed | Outcome::Reset
-                if u.breaks >= BREAKS && u.ejected_until <= self.at && heard + usual < self.at =>
-            {
-                let length = EJECT * f64::from(1 << u.ejections.min(3));
-                u.ejections += 1;
-                u.ejected_until = self.at + length * (0.75 + 0.5 * self.rng.f64());
-                // Nobody listens there: its process has died, and the next one is cold. It comes back
-                // from a first turn at a random time: a slow trial by all balancers. One that takes
-                // connections, if only to break them, has not restarted and has no less to give.
-                if outcome == Outcome::ConnectFailed {
-                    u.started = Some(u.ejected_until);
+            Outcome::Ok => {
+                h.faults = 0;
+                u.doubt *= DOUBT_LEFT;
+                u.ejections *= u32::from(u.doubt > DOUBTED);
+                if !overdue && std::mem::take(&mut h.ejected) {
+                    // What ailed it may have been the others' trouble too: they are tried at once.
+                    (l.trials, l.trial_at) = (0, self.at);
                 }
-                u.credit = self.rng.f64();
-                u.fresh = true;
-                self.choose_at = self.at;
             }
             // It looks the emptiest to the skip rule, whatever makes it turn requests of a class away.
             Outcome::Rejected => {
@@ -710,11 +698,10 @@
                 h.faults += 1;
             }
             Outcome::Error => h.faults += 1,
-            Outcome::TimedOut | Outcome::Cancelled if overdue => h.faults += 1,
+            _ if slow && u.ejected_until <= self.at => h.faults += 1,
             _ => {}
         }
-        let quick = self.at - h.answered > HEARD_OF && l.answers < QUICK * aim;
-        if !h.ejected && out && (h.faults >= FAULTS || (quick && h.faults > 0 && outcome != Outcome::Error)) {
+        if !h.ejected && out && h.faults >= FAULTS {
             (h.faults, h.ejected, h.tried) = (0, true, self.at);
             if l.trial_at <= self.at {
                 (l.trials, l.trial_at) = (0, self.at + EJECT * (0.75 + 0.5 * self.rng.f64()));
@@ -722,6 +709,37 @@
         }
         // Where the fault is the upstream's own, it says nothing of the room elsewhere.
         u.ghosts += f64::from(u8::from(slow && !h.ejected));
+        let fault = match outcome {
+            Outcome::Error => DOUBT,
+            Outcome::ConnectFailed | Outcome::Reset => DOUBT_BREAK,
+            _ => return,
+        };
+        if self.suspect(j, fault) && outcome == Outcome::ConnectFailed {
+            // Nobody listens there: its process has died, and the next one is cold. It comes back from a
+            // first turn at a random time: a slow trial by all balancers. One that takes connections, if
+            // only to break them, has not restarted and has no less to give.
+            self.ring[j].started = Some(self.ring[j].ejected_until);
+        }
+    }
+
+    /// A fault of an upstream that may be all classes' trouble there: too much in doubt, it is ejected for all.
+    fn suspect(&mut self, j: usize, fault: f64) -> bool {
+        let usual = self.latency();
+        let u = &mut self.ring[j];
+        u.doubt += fault * (1.0 - u.doubt);
+        // A process that has died breaks every connection, a poor way there a few.
+        let heard = fault == DOUBT_BREAK && u.heard + usual >= self.at;
+        if u.doubt < DOUBT_MOST || heard || u.ejected_until > self.at {
+            return false;
+        }
+        let length = EJECT * f64::from(1 << u.ejections.min(3));
+        u.ejections += 1;
+        u.ejected_until = self.at + length * (0.75 + 0.5 * self.rng.f64());
+        u.health.iter_mut().for_each(|h| (h.faults, h.ejected) = (0, false));
+        u.credit = self.rng.f64();
+        u.fresh = true;
+        self.choose_at = self.at;
+        true
     }
 
     fn report(&mut self, id: UpstreamId, report: &[f32]) {
@@ -804,8 +822,7 @@
             if let Some(s) = started.filter(fresh) {
                 // It has restarted: what was held against it is void, and it is cold.
                 u.started = Some(s);
-                u.breaks = 0;
-                (u.ejections, u.ejected_until, u.credit) = (0, 0.0, self.rng.f64());
+                (u.doubt, u.ejections, u.ejected_until, u.credit) = (0.0, 0, 0.0, self.rng.f64());
                 u.health.fill(Health::default());
                 (u.fresh, changed) = (true, true);
             }
@@ -838,6 +855,9 @@
         let blocks = (n / least.max(1)).max(1);
         let (round, place) = (self.set.index as usize / blocks, self.set.index as usize % blocks * least);
         let mut members = 0;
+        // When more seem ill, the fault is not theirs.
+        let out = order.iter().filter(|j| self.ring[**j].ejected_until > self.at).count() as f64;
+        let now = if out <= EJECTED_MOST * n as f64 { self.at } else { f64::INFINITY };
         self.ring.iter_mut().for_each(|u| u.member &= u.ready);
         // Who comes back from ejection is looked at again then.
         let until = self.ring.iter().map(|u| u.ejected_until).filter(|t| *t > self.at);
@@ -849,7 +869,7 @@
         }
         for (rank, j) in order.iter().enumerate() {
             let u = &mut self.ring[*j];
-            let usable = u.ejected_until <= self.at;
+            let usable = u.ejected_until <= now;
             // Once in it stays in, so that connections stay warm; newcomers have their place by the order.
             u.member = all || (usable && (u.member || (u.fresh && rank < least)));
             u.fresh &= !usable;
@@ -857,7 +877,7 @@
         }
         for j in &order {
             let u = &mut self.ring[*j];
-            if members < least && !u.member && u.ejected_until <= self.at {
+            if members < least && !u.member && u.ejected_until <= now {
                 (u.member, members) = (true, members + 1);
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -19,9 +19,10 @@
     pub(crate) ghosts: f64, // given up, and perhaps still at work there; fading over the shortest aim
     pub(crate) held: f64,   // what others hold there, by the latest report
     pub(crate) held_at: f64,
-    pub(crate) pace: f64,   // mean of latency over what is usual for the class
-    pub(crate) seen: f64,   // answers behind it, fading
-    pub(crate) breaks: u32, // connections broken in a row, since the last answer
+    pub(crate) pace: f64,  // mean of latency over what is usual for the class
+    pub(crate) seen: f64,  // answers behind it, fading
+    pub(crate) heard: f64, // anything came back last: an answer, an error or a refusal
+    pub(crate) doubt: f64, // by faults of whatever class, less by answers
     pub(crate) ejections: u32,
     pub(crate) ejected_until: f64,
     pub(crate) health: Vec<Health>, // by class
@@ -34,8 +35,7 @@
 /// What one class has met at one upstream.
 #[derive(Clone, Default)]
 pub(crate) struct Health {
-    pub(crate) faults: u32, // since the last answer
-    pub(crate) answered: f64,
+    pub(crate) faults: u32,   // since the last answer
     pub(crate) ejected: bool, // for this class
     pub(crate) tried: f64,    // then or by a trial since
 }
@@ -76,7 +76,6 @@
 #[derive(Default)]
 pub(crate) struct Learned {
     pub(crate) latency: f64, // mean of the class's attempts
-    pub(crate) answers: f64, // of those answered
     pub(crate) at: f64,      // of the latest of them
     pub(crate) usual: f64,   // the quantile USUAL of them
     pub(crate) share: f64,   // of the admitted
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -337,3 +337,70 @@
         assert_eq!(*timeout, ends, "late worth {late_worth}");
     }
 }
+
+/// Thin traffic of four classes, one of them unrepeatable: how often `ill` was sent to, and with what of that class,
+/// in the last of 40 s. `answer` is told how many attempts `ill` has had and says how this one ends.
+fn thin_traffic_with_one_ill(answer: impl Fn(usize) -> Option<Outcome>) -> (usize, usize) {
+    let effects = [Effect::Idempotent, Effect::Idempotent, Effect::Idempotent, Effect::AtMostOnce];
+    let classes = effects.map(|e| class(1200, 3000, e)).to_vec();
+    let mut bench = Bench::new(Settings { classes, ..Settings::default() }, &fleet(10));
+    let (ill, mut out, mut before) = (UpstreamId(2), Vec::new(), (0, 0));
+    let (mut met, mut unsafe_met) = (0, 0);
+    for k in 0..600usize {
+        if k == 300 {
+            before = (met, unsafe_met);
+        }
+        let id = bench.request((k * 7 / 3 % 4) as u16, 0, ms(2500));
+        out.push((id, 0, bench.now, k * 7 / 3 % 4 == 3));
+        for _ in 0..7 {
+            bench.run(ms(10));
+            let mut still = Vec::new();
+            for (id, attempt, since, once) in std::mem::take(&mut out) {
+                // A second copy is looked after as the first is.
+                if attempt == 0 && bench.at(id, 1).is_some() && !bench.answers.contains_key(&id) {
+                    bench.ended(id, 1, Outcome::Ok);
+                    bench.ended(id, 0, Outcome::Cancelled);
+                    continue;
+                }
+                let Some(upstream) = bench.at(id, attempt) else { continue };
+                let bad = upstream == ill && k >= 200;
+                let ended = if bad { answer(met) } else { Some(Outcome::Ok) };
+                let due = since + ms(if bad { 20 } else { 150 });
+                match ended {
+                    Some(outcome) if bench.now >= due => {
+                        (met, unsafe_met) = (met + usize::from(bad), unsafe_met + usize::from(bad && once));
+                        bench.ended(id, attempt, outcome);
+                        if outcome != Outcome::Ok && bench.at(id, attempt + 1).is_some() {
+                            still.push((id, attempt + 1, bench.now, once));
+                        }
+                    }
+                    None if bench.now >= since + ms(1170) => {
+                        (met, unsafe_met) = (met + 1, unsafe_met + usize::from(once));
+                        bench.ended(id, attempt, Outcome::TimedOut);
+                    }
+                    _ => still.push((id, attempt, since, once)),
+                }
+            }
+            out = still;
+        }
+    }
+    (met - before.0, unsafe_met - before.1)
+}
+
+/// Most of what it is sent fails at once, whatever the class, and some is answered in between: each class alone meets
+/// few faults in a row there, all together enough.
+#[test]
+fn one_that_fails_most_of_all_classes_is_left_by_all_of_them() {
+    let (met, of_once) =
+        thin_traffic_with_one_ill(|n| Some([Outcome::Error, Outcome::Ok][usize::from(n % 4 == 3)]));
+    assert!(met <= 15, "{met} of 300 sent to one that fails three in four");
+    assert!(of_once <= 1, "{of_once} of them can't be repeated");
+}
+
+/// Silent for all classes: what one of them has met there the others need not meet too.
+#[test]
+fn one_that_is_silent_for_all_classes_is_left_by_all_of_them() {
+    let (met, of_once) = thin_traffic_with_one_ill(|_| None);
+    assert!(met <= 8, "{met} of 300 waited for an answer of one that gives none");
+    assert_eq!(of_once, 0, "of them can't be repeated");
+}
