--- a/src/choice.rs
+++ b/src/choice.rs
@@ -722,7 +722,7 @@
         }
     }
 
-    /// A fault of an upstream that may be all classes' trouble there: too much in doubt, it is ejected for all.
+    /// A fault of an upstream, perhaps for all classes: too much in doubt, it is ejected for all of them.
     fn suspect(&mut self, j: usize, fault: f64) -> bool {
         let usual = self.latency();
         let u = &mut self.ring[j];
