Take busy as the mean of each upstream's last report, not of some fifty reports

At 5.0 s the balancers' log says busy 0.41 on average, while the reports that reached them in second 4 say 0.72 and those of second 5 say 0.79. Admission went by the former: 1,864 of 2,145 requests were let in in second 4. BUSY_NEWEST gave each report a fiftieth of the weight. With 75 reports a second, as on the small fleet, that is under a second; with the 15 a second of one of 100 balancers it is more than three. Ruled out: late reports (they are 0.6 to 1.2 s old at most) and that reports are missing (60 of 60 upstreams report in each second).

Now busy is the mean over the upstreams in turn, by size, of what each said last, for as long as that stands (3 s as before). It needs no constant for the traffic.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,8 +31,7 @@
 /// demand over the shares, by its worth: where it is worth little, so is the risk.
 const BUSY: f64 = 0.62;
 const BUSY_MORE: f64 = 0.4;
-/// Weight of the newest report in that share, and seconds for which it stands without a further one.
-const BUSY_NEWEST: f64 = 0.02;
+/// Seconds for which a report of it stands without a further one of the same upstream.
 const BUSY_KEPT: f64 = 3.0;
 /// Bucket size T_i: a second of the guarantee or this share of the tenant's demand, whichever is more, and
 /// this many tokens, so that a small tenant's chance pairs are not refused.
@@ -133,7 +132,6 @@
     rate_now: f64, // completions a second, smoothed
     room: f64,     // W
     busy: f64,     // share of the upstreams' cores in use, by their reports
-    busy_at: f64,
     retries: f64,
     ticking: bool,
     last_tick: f64,
@@ -171,7 +169,6 @@
             classes: classes.collect(),
             rate_now: each,
             set,
-            busy_at: f64::NEG_INFINITY,
             retries: RETRY_SAVED,
             ..Self::default()
         })
@@ -304,7 +301,18 @@
         // Queues are shared by all classes: the one whose answers come closest to its aim sets how much they
         // may grow, or by how much they are too long.
         let classes = self.set.classes.iter().zip(&self.classes).filter(|(_, l)| l.share > SHARE_LEAST);
-        let told = at - self.busy_at < BUSY_KEPT;
+        // What each upstream said last counts alike, however few of them answer this balancer in a second.
+        let told = |u: &&Upstream| u.busy_at > 0.0 && at - u.busy_at < BUSY_KEPT;
+        let (busy, size) = self
+            .turns
+            .iter()
+            .map(|j| &self.ring[*j])
+            .filter(told)
+            .fold((0.0, 0.0), |(busy, size), u| (busy + u.size * u.busy, size + u.size));
+        let told = size > 0.0;
+        if told {
+            self.busy = busy / size;
+        }
         let part = if told { ROOM_TOLD } else { ROOM };
         let slack =
             classes.map(|(c, l)| part * c.aim.as_secs_f64() - l.latency).fold(f64::INFINITY, f64::min);
@@ -752,8 +760,7 @@
             match field {
                 LoadField::InFlight | LoadField::Queue => most = Some(value.max(most.unwrap_or(0.0))),
                 LoadField::Utilization => {
-                    self.busy += BUSY_NEWEST * (value.min(1.0) - self.busy);
-                    self.busy_at = self.at;
+                    (u.busy, u.busy_at) = (value.min(1.0), self.at);
                 }
                 _ => {}
             }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -172,3 +172,24 @@
     assert!(after > 100.0, "{after} done a second");
     assert!(followed > 0.6 * after, "{followed} believed where {after} are done a second");
 }
+
+/// A thin balancer hears from each upstream about once a second: what all of them say at last is what it goes by,
+/// not a mean over fifty reports, which is several seconds of its traffic.
+#[test]
+fn one_report_of_each_upstream_tells_how_busy_they_are() {
+    let (reports, report_fields) = (Reports::Inline, vec![LoadField::Utilization]);
+    let mut bench = Bench::new(Settings { reports, report_fields, ..settings(100, &[1500.0]) }, &fleet(10));
+    let mut all_say = |busy: f32| {
+        for id in 1..=10 {
+            let (upstream, outcome, latency) = (UpstreamId(id), Outcome::Ok, ms(1));
+            bench.tell(Event::ProbeEnded { upstream, outcome, latency, report: &[busy] });
+            bench.run(ms(70));
+        }
+        bench.balancer.standing().busy
+    };
+    for _ in 0..10 {
+        all_say(0.3);
+    }
+    let surged = all_say(0.9);
+    assert!((surged - 0.9).abs() < 0.01, "believed {surged} where all say 0.9");
+}
