Let load reports fade to what the others hold, not to nothing

The skip rule passes over who holds clearly more than the least in sight. A balancer hears of an upstream 1.4 times a second at most, and not at all while it answers nothing. A report fades within a second, to nothing: so whoever has not been heard of, for chance or because it is stuck, looks empty next to those that have, and does so to all balancers.

Ruled out: unequal machines.

At fault: `holds` in choice.rs. A report now fades to the mean of what those in turn are reported to hold. Where this balancer is alone, reports count for nothing, as before.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -80,8 +80,9 @@
 const COLD_SHARE: f64 = 0.4;
 /// Points of cross-zone price at which other zones get no ordinary turns; less in proportion.
 const FAR_PRICE: f64 = 0.05;
-/// Seconds after which a load report is half forgotten.
+/// Seconds over which a report of what an upstream holds fades, and for which it tells of the others.
 const REPORT_KEPT: f64 = 1.0;
+const REPORT_MOST: f64 = 3.0;
 /// Upstreams a further attempt looks at for the least loaded.
 const FURTHER_LOOK: usize = 6;
 /// Upstreams in a subset for each request a second that the balancer may get, and at the least.
@@ -131,6 +132,7 @@
     done: f64,     // completions of the running tick
     rate_now: f64, // completions a second, smoothed
     room: f64,     // W
+    crowd: f64,    // what those in turn hold of others for their capacity, by their reports
     busy: f64,     // share of the upstreams' cores in use, by their reports
     retries: f64,
     ticking: bool,
@@ -407,6 +409,10 @@
                 warm_rate += u.weight;
             }
         }
+        let heard = |u: &&Upstream| u.held_at > 0.0 && self.at - u.held_at < REPORT_MOST;
+        let crowds = self.turns.iter().map(|j| &self.ring[*j]).filter(heard).map(|u| u.held / u.capacity);
+        let (crowd, n) = crowds.fold((0.0, 0.0), |(crowd, n), held| (crowd + held, n + 1.0));
+        self.crowd = crowd / f64::max(n, 1.0);
         // A cold upstream earns turns by the clock: where others are skipped the ring turns faster.
         let each = if warm > 0.0 { self.rate * warm_rate / warm } else { self.rate };
         let cold = COLD_SHARE * self.set.fall_multiple;
@@ -419,12 +425,14 @@
         }
     }
 
-    /// What an upstream holds for its capacity: own requests and, fading with age, reported ones.
+    /// What an upstream holds for its capacity: own requests, and reported ones. With its age a report fades
+    /// to what the others hold: taken for empty, who is not heard of draws the turns of all balancers.
     fn holds(&self, j: usize) -> f64 {
         let u = &self.ring[j];
         let age = (self.last_tick - u.held_at).max(0.0);
-        let reported = u.held * (-age / REPORT_KEPT).exp();
-        (f64::from(u.in_flight) + OVERDUE_HELD * f64::from(u.overdue) + u.ghosts + reported) / u.capacity
+        let reported = self.crowd + (u.held / u.capacity - self.crowd) * (-age / REPORT_KEPT).exp();
+        let own = f64::from(u.in_flight) + OVERDUE_HELD * f64::from(u.overdue) + u.ghosts;
+        own / u.capacity + reported
     }
 
     /// Steps the counter to the next upstream that has earned a turn.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -404,3 +404,28 @@
     assert!(met <= 8, "{met} of 300 waited for an answer of one that gives none");
     assert_eq!(of_once, 0, "of them can't be repeated");
 }
+
+/// Four tell how much others hold there, the fifth has not been heard of for seconds. It is no emptier for that: all
+/// balancers would send it their turns.
+#[test]
+fn one_not_heard_of_is_not_taken_for_empty() {
+    let mut set = settings(Effect::Idempotent);
+    (set.reports, set.report_fields, set.balancers) = (Reports::Inline, vec![LoadField::InFlight], 100);
+    set.tenants = vec![Tenant { allowance_per_s: 5000.0 }];
+    let mut bench = Bench::new(set, &fleet(5));
+    for k in 0..600 {
+        let id = bench.request(0, 0, ms(1000));
+        bench.run(ms(20));
+        if bench.at(id, 0).is_some() {
+            bench.ended(id, 0, Outcome::Ok);
+        }
+        let quiet_from = 100;
+        for upstream in (1..=if k < quiet_from { 5 } else { 4 }).map(UpstreamId) {
+            let (outcome, latency, report) = (Outcome::Ok, ms(1), &[8.0][..]);
+            bench.tell(Event::ProbeEnded { upstream, outcome, latency, report });
+        }
+        bench.run(ms(30));
+    }
+    let got = bench.attempts_at(UpstreamId(5));
+    assert!((90..=150).contains(&got), "{got} of 600 at one of five");
+}
