Send a second copy only where nothing has come back since the first went out

A call back closes its connection: a handshake each. A copy went out whenever an attempt was overdue, which one in twenty is by definition: mostly the request is a long one, and the copy is as long elsewhere.

Ruled out: that copies rescue requests from slow upstreams.

At fault: `overdue` in choice.rs. A copy now needs that nothing at all has come back from that upstream since the attempt was sent. An upstream never heard of counts as silent from the start (`heard` began at nil, which hid it in the first instant).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -586,20 +586,20 @@
             && self.safe(r, u)
     }
 
-    /// An attempt is out for longer than is usual: its upstream is passed over, and a second copy may go out.
+    /// An attempt is out for longer than is usual: its upstream is passed over. If nothing has come back from
+    /// there since, a second copy may go out; else the request is a long one, and as long elsewhere.
     fn overdue(&mut self, id: RequestId, attempt: u8) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(a) = r.attempts.get_mut(usize::from(attempt)).filter(|a| a.out) else { return };
         a.overdue = true;
-        if let Some(&j) = self.index.get(&a.upstream) {
-            let silent = self.ring[j].heard < a.sent;
-            self.ring[j].overdue += 1;
-            if silent {
-                self.suspect(j, DOUBT);
-            }
+        let Some(&j) = self.index.get(&a.upstream) else { return };
+        let silent = self.ring[j].heard < a.sent;
+        self.ring[j].overdue += 1;
+        if silent {
+            self.suspect(j, DOUBT);
         }
         // Room for one: the overdue attempt itself is counted in what is held.
-        if self.set.hedging && self.room > -1.0 {
+        if silent && self.set.hedging && self.room > -1.0 {
             self.further(id, 1.0);
         }
     }
@@ -813,6 +813,7 @@
                     started,
                     credit,
                     capacity: 1.0,
+                    heard: f64::NEG_INFINITY,
                     fresh: !first,
                     ..Upstream::default()
                 });
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -449,3 +449,17 @@
     }
     assert_eq!(closed, 0, "closings of idle connections");
 }
+
+/// Whoever has answered others since is not stuck: the request is a long one, and a copy is as long anywhere.
+#[test]
+fn a_long_request_at_an_upstream_that_answers_others_gets_no_copy() {
+    let tenants = vec![Tenant { allowance_per_s: 1000.0 }];
+    let mut bench = Bench::new(Settings { tenants, ..settings(Effect::Idempotent) }, &fleet(3));
+    let ids: Vec<_> = (0..9).map(|_| bench.request(0, 0, ms(1000))).collect();
+    bench.run(ms(20));
+    let (long, others) = ids.split_first().unwrap();
+    assert!(others.iter().any(|id| bench.at(*id, 0) == bench.at(*long, 0)), "others went there too");
+    others.iter().for_each(|id| bench.ended(*id, 0, Outcome::Ok));
+    bench.run(ms(300));
+    assert_eq!(bench.at(*long, 1), None, "a copy of what is only long");
+}
