Eject for longer the more balancers share an upstream

An ejection lasts 1.5 s at first and ends with a trial, one at a time, which takes up to 2.4 s to time out. 18 balancers and more send to each upstream and each tries it on its own: some 8 trials a second and more, where 35 requests a second are a full load and one that has turned slow does a third of that. The site says that it must be mostly idle for 2 to 4 s to be well again.

At fault: the length in `suspect` (choice.rs), the same for one balancer and for 100. It now grows with the root of the number of balancers that send to an upstream, by the size of the subset; 12 s stays the longest. For one or two balancers next to nothing changes.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -72,8 +72,11 @@
 /// and doubt at which it is ejected: two faults in a row, or three breaks where nothing came for a while.
 const DOUBTED: f64 = 0.35;
 const DOUBT_MOST: f64 = 0.6;
-/// Seconds of the first ejection; each one more without a success doubles it, three times at most.
+/// Seconds of the first ejection, and of the longest; each one more without a success doubles it. All who
+/// send to an upstream try it again on their own: the first grows with the root of their number, between the
+/// load that they are to it together and how late each then learns that it is well.
 const EJECT: f64 = 1.5;
+const EJECT_MOST: f64 = 12.0;
 /// Share of the ready upstreams that may be ejected: when more seem ill, the fault is not theirs.
 const EJECTED_MOST: f64 = 0.6;
 /// What a cold upstream gets for each unit of capacity: this share of what would push it over.
@@ -120,6 +123,7 @@
     index: FxHashMap<UpstreamId, usize>,
     turns: Vec<usize>, // the subset, in this balancer's own order
     subset_least: usize,
+    sharers: f64,           // balancers that send to each upstream, by an equal spread of subsets
     choose_at: f64,         // when the subset is looked at again
     sigma: usize,           // the counter of the round robin
     ahead: VecDeque<usize>, // the turns after it
@@ -750,7 +754,7 @@
         if u.doubt < DOUBT_MOST || heard || u.ejected_until > self.at {
             return false;
         }
-        let length = EJECT * f64::from(1 << u.ejections.min(3));
+        let length = (EJECT * self.sharers.sqrt() * f64::from(1 << u.ejections.min(3))).min(EJECT_MOST);
         u.ejections += 1;
         u.ejected_until = self.at + length * (0.75 + 0.5 * self.rng.f64());
         u.health.iter_mut().for_each(|h| (h.faults, h.ejected) = (0, false));
@@ -908,6 +912,8 @@
         }
         self.turns = order;
         self.turns.retain(|j| self.ring[*j].member);
+        self.sharers = f64::from(self.set.balancers) * self.turns.len() as f64 / n.max(1) as f64;
+        self.sharers = self.sharers.max(1.0);
         // Each balancer has its own order, so that counters do not march in step.
         self.rng.shuffle(&mut self.turns);
         (self.sigma, self.ahead) = (0, VecDeque::new());
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -463,3 +463,19 @@
     bench.run(ms(300));
     assert_eq!(bench.at(*long, 1), None, "a copy of what is only long");
 }
+
+/// All who send to an upstream try it again, each on its own: where sixteen share it, each leaves it alone for longer,
+/// so that together they are no load to one that needs a rest. One balancer alone is soon back.
+#[test]
+fn the_more_balancers_share_an_upstream_the_longer_each_leaves_it() {
+    let tries = |balancers: u32| {
+        let mut bench = Bench::new(Settings { balancers, ..settings(Effect::Idempotent) }, &fleet(4));
+        let bad = UpstreamId(2);
+        bench.traffic(60, ms(10), |u| Some(if u == bad { Outcome::Error } else { Outcome::Ok }));
+        let before = bench.attempts_at(bad);
+        bench.traffic(300, ms(10), |u| Some(if u == bad { Outcome::Error } else { Outcome::Ok }));
+        bench.attempts_at(bad) - before
+    };
+    assert!(tries(1) > 0, "one alone tries it within 3 s");
+    assert_eq!(tries(16), 0, "of sixteen, none so soon");
+}
