Spread the balancers' calls for their list over the time that discovery needs

All balancers make their first call within a second of their start, by ask_every / 10; 46 of 100 have waited in turn for too long and fail at second 2 to 3, call again within half a second, in step, and fail at second 5 and again at 7 and 8. After the restart at 12.35 s it is the same: failures at 16, 18 to 19, 21 and 22; until then those balancers go by the list of before the release.

Ruled out: discovery being down (calls of others succeed all the while) and slow notice by the balancers that have a watch (none of them sends to a drained server for long).

At fault: the first `ask_at` in `handle`, and the wait after a failure in `fleet` (choice.rs), the same for one balancer and for 100. Both now span 50 ms for each balancer, at most half of ask_every; a wait after a failure still doubles. The list known from before serves meanwhile, as it did. One or two balancers ask as soon as ever.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -108,6 +108,10 @@
 /// Weight of the newest in the shares that show it: two long requests in a row are chance.
 const SILENT_NEWEST: f64 = 0.05;
 
+/// Seconds of the list service left to each balancer's call: it serves one after another, and a call that has
+/// waited for too long fails and is made again.
+const CALL_EACH: f64 = 0.05;
+
 /// The timer of the tick.
 const TICK_TIMER: TimerId = TimerId(0);
 
@@ -210,7 +214,7 @@
         (self.now, self.at) = (now, at);
         if !std::mem::replace(&mut self.ticking, true) {
             self.last_tick = at;
-            self.ask_at = at + self.set.ask_every.as_secs_f64() * 0.1 * self.rng.f64();
+            self.ask_at = at + self.calls_over() * self.rng.f64();
             let after = Duration::from_secs_f64(TICK * self.rng.f64());
             self.out.push(Action::Timer { after, timer: TICK_TIMER });
         }
@@ -784,14 +788,20 @@
         }
     }
 
+    /// Seconds over which the calls of all balancers are spread, should all need their list at once.
+    fn calls_over(&self) -> f64 {
+        (CALL_EACH * f64::from(self.set.balancers)).min(0.5 * self.set.ask_every.as_secs_f64())
+    }
+
     fn fleet(&mut self, scope: FleetScope, listed: &[Listed]) {
         if scope == FleetScope::Failed {
             // Doubling, jittered waits: a list service that was down must not meet all at once.
             let longest = self.set.ask_every.as_secs_f64() * 0.8;
             let wait = (longest / 16.0) * f64::from(1u32 << self.ask_failures.min(4));
+            let wait = wait.max(self.calls_over());
             self.ask_failures += 1;
             self.watching = false;
-            self.ask_at = self.at + wait * (0.5 + 0.5 * self.rng.f64());
+            self.ask_at = self.at + wait * (0.25 + 0.75 * self.rng.f64());
             return;
         }
         if scope != FleetScope::Cached {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -479,3 +479,39 @@
     assert!(tries(1) > 0, "one alone tries it within 3 s");
     assert_eq!(tries(16), 0, "of sixteen, none so soon");
 }
+
+/// All balancers restart together, and the list service handles their calls one after another: the first calls, and
+/// those made again after a failure, must not come in step. One balancer alone has nobody to wait for.
+#[test]
+fn the_calls_of_many_balancers_for_their_list_are_spread() {
+    let calls = |balancers: u32, index: u32| {
+        let set = Settings { ask_for_fleet: true, balancers, index, ..settings(Effect::Idempotent) };
+        let mut bench = Bench::new(set.clone(), &[]);
+        bench.balancer = Balancer::new(set, u64::from(index)).unwrap();
+        bench.timers.clear();
+        bench.tell(Event::Fleet { scope: FleetScope::Cached, listed: &fleet(4) });
+        while bench.list_calls.is_empty() {
+            bench.run(ms(10));
+        }
+        // It has waited in turn for three seconds.
+        bench.run(ms(3000));
+        bench.tell(Event::Fleet { scope: FleetScope::Failed, listed: &[] });
+        let failed = bench.now;
+        bench.list_calls.truncate(1);
+        while bench.list_calls.len() < 2 {
+            bench.run(ms(10));
+        }
+        (bench.list_calls[0], bench.list_calls[1] - failed)
+    };
+    let (first, again): (Vec<_>, Vec<_>) = (0..100).map(|index| calls(100, index)).unzip();
+    for calls in [first, again] {
+        let most =
+            calls.iter().map(|at| calls.iter().filter(|c| **c >= *at && **c < *at + ms(1000)).count()).max();
+        assert!(most < Some(45), "{most:?} of 100 calls within a second");
+        assert!(
+            calls.iter().all(|at| *at <= ms(5100)),
+            "and none much later than half of the time to ask in"
+        );
+    }
+    assert!(calls(1, 0).0 <= ms(200), "one alone asks at once");
+}
