Count being turned away as doubt of an upstream over all classes

Ruled out: calls for lists (none fails any more; they come within 5 s of the restart) and queues that are full (the servers that turn away answer nothing in between).

At fault: the doubt in `learn` (choice.rs), which counted errors and broken connections only.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -736,7 +736,7 @@
         // Where the fault is the upstream's own, it says nothing of the room elsewhere.
         u.ghosts += f64::from(u8::from(slow && !h.ejected));
         let fault = match outcome {
-            Outcome::Error => DOUBT,
+            Outcome::Error | Outcome::Rejected => DOUBT,
             Outcome::ConnectFailed | Outcome::Reset => DOUBT_BREAK,
             _ => return,
         };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -515,3 +515,10 @@
     }
     assert!(calls(1, 0).0 <= ms(200), "one alone asks at once");
 }
+
+/// One that drains unlisted turns everything away: all classes leave it, not each after its own two tries.
+#[test]
+fn one_that_turns_all_classes_away_is_left_by_all_of_them() {
+    let (met, _) = thin_traffic_with_one_ill(|_| Some(Outcome::Rejected));
+    assert!(met <= 3, "{met} of 300 sent to one that turns all away");
+}
