Never tell a client to come back at once: a refusal says at least an attempt's time

They all end a request that is given up when its try has no time left: the time to come back was half of what the try had left. But a try ends after 42 to 80% of what the client will wait; it comes back for another at once, into the same crowd.

Ruled out: refusals on arrival (none with nil among them).

At fault: `refuse` in choice.rs. The time is now at least what an attempt takes at present on average, and a tick; it is still spread and never over max_retry_after.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -271,7 +271,9 @@
     /// A refusal always tells when to come back. The moment is spread by the request's own number, so that
     /// those refused together do not return together.
     fn refuse(&mut self, id: RequestId, left: Duration) {
-        let longest = self.set.max_retry_after.min(left / 2);
+        // No sooner than an attempt takes, however little of this try is left: the client may have another.
+        let least = Duration::from_secs_f64(self.latency().max(TICK));
+        let longest = self.set.max_retry_after.min(least.max(left / 2));
         let retry_after = longest.mul_f64(0.5 + 0.5 * Chance::with_seed(u64::from(id.0)).f64());
         self.out.push(Action::Refuse { id, retry_after: Some(retry_after) });
     }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -193,3 +193,20 @@
     let surged = all_say(0.9);
     assert!((surged - 0.9).abs() < 0.01, "believed {surged} where all say 0.9");
 }
+
+/// What is given up at its deadline has no time left, its client may have: it is told a time to come back too.
+#[test]
+fn a_refusal_at_the_deadline_still_says_when_to_come_back() {
+    let mut bench = Bench::new(settings(1, &[20.0]), &fleet(2));
+    let id = bench.request(0, 0, ms(300));
+    bench.run(ms(300));
+    for attempt in 0..bench.sent[&id].len() {
+        bench.ended(id, attempt, Outcome::TimedOut);
+    }
+    let longest = Settings::default().max_retry_after;
+    let told = bench.actions.iter().find_map(|a| match a {
+        Action::Refuse { retry_after, .. } => *retry_after,
+        _ => None,
+    });
+    assert!(told.is_some_and(|t| t >= ms(10) && t <= longest), "{told:?}");
+}
