Let the subset grow with the requests a balancer really gets

The lower nine tenths get 2 to 16 first tries a second each and refuse 0 to 0.3; the top tenth gets 55 and refuses 41, at a util of 0.54 in its reports. It sends to 13 upstreams, as the others do. Seconds 8 to 15: 62 to 93 of 192 upstreams are over 0.8 busy while 28 to 77 are under 0.3. One that stands so: tally=Tally { asked: 332, served: 158, refused: 162, ... } standing=Standing { room: 1.53, rate: 38.4, busy: 0.54, ... demand: 104.2, in_flight: 11, turns: (12, 0, 0) }

At fault: `choose_subset` and `new` in choice.rs: a subset was sized for an equal part of the stated allowances, whatever the balancer gets. It now follows what is completed, up by half or down to a third at a time, in the same shared order, and keeps the members it has. `sharers` still tells how many send to each upstream by equal parts.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -125,8 +125,9 @@
     rng: Chance,
     ring: Vec<Upstream>, // all that are listed
     index: FxHashMap<UpstreamId, usize>,
-    turns: Vec<usize>, // the subset, in this balancer's own order
-    subset_least: usize,
+    turns: Vec<usize>,      // the subset, in this balancer's own order
+    subset_least: usize,    // of an equal part of the traffic
+    subset: usize,          // of what this balancer really gets
     sharers: f64,           // balancers that send to each upstream, by an equal spread of subsets
     choose_at: f64,         // when the subset is looked at again
     sigma: usize,           // the counter of the round robin
@@ -174,8 +175,10 @@
             Learned { latency: aim * 0.3, usual: aim * OVERDUE_BY, share: 1.0, ..Learned::default() }
         });
         let each = stated.max(1.0) / f64::from(set.balancers);
+        let subset = (SUBSET_EACH * each).clamp(SUBSET_LEAST, 1e6) as usize;
         Ok(Self {
-            subset_least: (SUBSET_EACH * each).clamp(SUBSET_LEAST, 1e6) as usize,
+            subset,
+            subset_least: subset,
             rng: Chance::with_seed(seed),
             buckets: buckets.collect(),
             classes: classes.collect(),
@@ -191,14 +194,18 @@
         self.ring.len() + self.index.len() + self.requests.len() + self.due.len()
     }
 
+    /// The upstreams in turn.
+    fn in_turn(&self) -> impl Iterator<Item = &Upstream> {
+        self.turns.iter().map(|j| &self.ring[*j])
+    }
+
     /// How it stands now.
     pub fn standing(&self) -> Standing {
-        let turns = || self.turns.iter().map(|j| &self.ring[*j]);
-        let cold = turns().filter(|u| u.started.is_some()).count();
-        let ejected = turns().filter(|u| u.ejected_until > self.at).count();
+        let cold = self.in_turn().filter(|u| u.started.is_some()).count();
+        let ejected = self.in_turn().filter(|u| u.ejected_until > self.at).count();
         Standing {
             room: self.room,
-            rate: self.rate * turns().map(|u| u.weight).sum::<f64>(),
+            rate: self.rate * self.in_turn().map(|u| u.weight).sum::<f64>(),
             busy: self.busy,
             latency: self.latency(),
             demand: self.buckets.iter().map(|b| b.demand).sum(),
@@ -282,6 +289,13 @@
     fn tick(&mut self) {
         let (at, tau) = (self.at, (self.at - self.last_tick).clamp(0.0, 1.0));
         self.last_tick = at;
+        // Traffic is uneven: several times the mean on an equal part of the upstreams would crowd them as
+        // others idle. Both ways by leaps, so that chance moves nothing.
+        let due = (SUBSET_EACH * self.rate_now).clamp(self.subset_least as f64, 1e6) as usize;
+        let more = due * 2 >= self.subset * 3 && self.turns.len() < self.ring.len();
+        if more || due * 3 <= self.subset {
+            (self.subset, self.choose_at) = (due, at);
+        }
         if at >= self.choose_at {
             self.choose_subset();
         }
@@ -317,12 +331,8 @@
         let classes = self.set.classes.iter().zip(&self.classes).filter(|(_, l)| l.share > SHARE_LEAST);
         // What each upstream said last counts alike, however few of them answer this balancer in a second.
         let told = |u: &&Upstream| u.busy_at > 0.0 && at - u.busy_at < BUSY_KEPT;
-        let (busy, size) = self
-            .turns
-            .iter()
-            .map(|j| &self.ring[*j])
-            .filter(told)
-            .fold((0.0, 0.0), |(busy, size), u| (busy + u.size * u.busy, size + u.size));
+        let telling = self.in_turn().filter(told);
+        let (busy, size) = telling.fold((0.0, 0.0), |(b, size), u| (b + u.size * u.busy, size + u.size));
         let told = size > 0.0;
         if told {
             self.busy = busy / size;
@@ -331,8 +341,7 @@
         let slack =
             classes.map(|(c, l)| part * c.aim.as_secs_f64() - l.latency).fold(f64::INFINITY, f64::min);
         let mut within = (self.latency() + slack).max(0.0);
-        let turns = || self.turns.iter().map(|j| &self.ring[*j]);
-        let weights: f64 = turns().map(|u| u.weight).sum::<f64>().max(1e-9);
+        let weights: f64 = self.in_turn().map(|u| u.weight).sum::<f64>().max(1e-9);
         self.rate_now += (tau / RATE_OVER).min(1.0) * (self.done / tau.max(1e-6) - self.rate_now);
         self.done = 0.0;
         let seen = self.rate_now / weights;
@@ -348,7 +357,7 @@
             self.rate = (self.rate + (tau / over).min(1.0) * (seen - self.rate)).max(seen);
         }
         let (mut room, mut taken, balancers) = (0.0, 0.0, f64::from(self.set.balancers));
-        for u in self.turns.iter().map(|j| &self.ring[*j]).filter(|u| u.weight > 0.0) {
+        for u in self.in_turn().filter(|u| u.weight > 0.0) {
             let c = self.rate * u.weight;
             // One place in all at least: where nothing is stated a start from nothing takes long. One whose
             // requests are overdue has no room, in part or all, but what it holds is held: else, when all
@@ -388,13 +397,13 @@
 
     /// What each upstream can do now, and the turns it gets for it.
     fn weigh(&mut self, tau: f64) {
-        let turns = || self.turns.iter().map(|j| &self.ring[*j]);
-        let largest = turns().map(|u| u.size).fold(1e-9, f64::max);
-        let ready = turns().filter(|u| u.ready).count() as f64;
-        let ejected = turns().filter(|u| u.ready && u.ejected_until > self.at).count() as f64;
+        let largest = self.in_turn().map(|u| u.size).fold(1e-9, f64::max);
+        let ready = self.in_turn().filter(|u| u.ready).count() as f64;
+        let ejected = self.in_turn().filter(|u| u.ready && u.ejected_until > self.at).count() as f64;
         let spare_ejections = ejected <= EJECTED_MOST * ready;
         let far = (1.0 - self.set.prices.cross_zone / FAR_PRICE).max(0.0);
-        let near_ready = turns().any(|u| u.ready && u.zone == self.set.zone && u.ejected_until <= self.at);
+        let near = |u: &Upstream| u.ready && u.zone == self.set.zone && u.ejected_until <= self.at;
+        let near_ready = self.in_turn().any(near);
         let (fade, cold_from) = ((-tau / PACE_KEPT).exp(), self.set.cold_from.min(1.0));
         let aim = self.set.classes.iter().map(|c| c.aim.as_secs_f64()).fold(f64::INFINITY, f64::min);
         let laid = (-tau / aim).exp();
@@ -415,14 +424,14 @@
             u.capacity = (u.size / largest * climb / pace.clamp(0.25, 4.0)).max(1e-3);
             let usable = u.ready && (u.ejected_until <= self.at || !spare_ejections);
             let zone = if u.zone == self.set.zone || !near_ready { 1.0 } else { far };
-            u.weight = if usable { u.capacity * zone } else { 0.0 };
+            u.weight = u.capacity * zone * f64::from(u8::from(usable));
             if u.weight > 0.0 && u.started.is_none() {
                 warm += 1.0;
                 warm_rate += u.weight;
             }
         }
         let heard = |u: &&Upstream| u.held_at > 0.0 && self.at - u.held_at < REPORT_MOST;
-        let crowds = self.turns.iter().map(|j| &self.ring[*j]).filter(heard).map(|u| u.held / u.capacity);
+        let crowds = self.in_turn().filter(heard).map(|u| u.held / u.capacity);
         let (crowd, n) = crowds.fold((0.0, 0.0), |(crowd, n), held| (crowd + held, n + 1.0));
         self.crowd = crowd / f64::max(n, 1.0);
         // A cold upstream earns turns by the clock: where others are skipped the ring turns faster.
@@ -430,10 +439,9 @@
         let cold = COLD_SHARE * self.set.fall_multiple;
         for j in &self.turns {
             let u = &mut self.ring[*j];
-            if u.started.is_none() {
-                continue;
+            if u.started.is_some() {
+                u.credit = (u.credit + tau * each * cold * u.weight).min(1.5);
             }
-            u.credit = (u.credit + tau * each * cold * u.weight).min(1.5);
         }
     }
 
@@ -779,9 +787,7 @@
             let value = f64::from(*value).clamp(0.0, 1e4);
             match field {
                 LoadField::InFlight | LoadField::Queue => most = Some(value.max(most.unwrap_or(0.0))),
-                LoadField::Utilization => {
-                    (u.busy, u.busy_at) = (value.min(1.0), self.at);
-                }
+                LoadField::Utilization => (u.busy, u.busy_at) = (value.min(1.0), self.at),
                 _ => {}
             }
         }
@@ -807,8 +813,7 @@
             return;
         }
         if scope != FleetScope::Cached {
-            self.watching = true;
-            self.ask_failures = 0;
+            (self.watching, self.ask_failures) = (true, 0);
         }
         let mut changed = scope != FleetScope::Changes;
         if changed {
@@ -884,10 +889,11 @@
         let mut order: Vec<usize> = (0..self.ring.len()).filter(|j| self.ring[*j].ready).collect();
         // Few balancers take more each: every upstream is in several subsets, and one alone takes all.
         let n = order.len();
-        let least = self.subset_least.max(SUBSETS_EACH * n / (self.set.balancers as usize).max(1));
+        let equal = self.subset_least.max(SUBSETS_EACH * n / (self.set.balancers as usize).max(1));
+        let least = equal.max(self.subset);
         let all = least * 5 >= n * 4;
-        let blocks = (n / least.max(1)).max(1);
-        let (round, place) = (self.set.index as usize / blocks, self.set.index as usize % blocks * least);
+        let blocks = (n / equal.max(1)).max(1);
+        let (round, place) = (self.set.index as usize / blocks, self.set.index as usize % blocks * equal);
         let mut members = 0;
         // When more seem ill, the fault is not theirs.
         let out = order.iter().filter(|j| self.ring[**j].ejected_until > self.at).count() as f64;
@@ -924,8 +930,8 @@
         }
         self.turns = order;
         self.turns.retain(|j| self.ring[*j].member);
-        self.sharers = f64::from(self.set.balancers) * self.turns.len() as f64 / n.max(1) as f64;
-        self.sharers = self.sharers.max(1.0);
+        let part = equal.min(n) as f64 / n.max(1) as f64;
+        self.sharers = (f64::from(self.set.balancers) * part).max(1.0);
         // Each balancer has its own order, so that counters do not march in step.
         self.rng.shuffle(&mut self.turns);
         (self.sigma, self.ahead) = (0, VecDeque::new());
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -66,6 +66,24 @@
     assert_eq!(after.intersection(&before).count(), before.len() - 2);
 }
 
+/// Traffic is uneven: a balancer that gets ten times its equal part would crowd an equal part of the upstreams
+/// while others idle. It takes more of them, keeps those it has, and lets go once the traffic has gone elsewhere.
+#[test]
+fn a_subset_grows_and_shrinks_with_what_a_balancer_really_gets() {
+    let fleet: Vec<_> = (1..=48).map(|id| listed(id * 7919)).collect();
+    let mut bench = Bench::new(settings(17), &fleet);
+    let thin = used(&mut bench, 60);
+    bench.traffic(200, ms(50), |_| Some(Outcome::Ok));
+    bench.sent.clear();
+    bench.traffic(200, ms(50), |_| Some(Outcome::Ok));
+    let busy: BTreeSet<_> = bench.sent.values().flatten().map(|s| s.1).collect();
+    assert!((10..=24).contains(&busy.len()), "{} upstreams for 20 requests a second", busy.len());
+    assert!(thin.is_subset(&busy), "its connections stay in use");
+    bench.traffic(30, ms(500), |_| Some(Outcome::Ok));
+    let after = used(&mut bench, 60);
+    assert!(after.len() <= 2 * thin.len(), "{} upstreams for 2 requests a second", after.len());
+}
+
 /// Without stated allowances one balancer alone still takes all, whatever it sees.
 #[test]
 fn a_balancer_alone_uses_all() {
