Give W an equal part of what cores told to be idle can hold

Evidence, counted over all 273 balancers (debug log), second 18: 14,082 asked, 13,760 refused, 308 sent; upstreams say util 0.16, 1.9 requests held. One balancer: standing=Standing { room: -1.63, rate: 6.24, busy: 0.10, latency: 0.87, demand: 36.5, in_flight: 3, turns: (11, 5, 0) } It holds three requests on eleven idle upstreams and believes that these are too many: C is what it completed of late, which is what it admitted, and latency is of the jam.

Ruled out: discovery (the zone was back on the list by second 13) and ejections (0.0 of 11 in turn ejected at second 20).

At fault: the floor of W in `grant` (choice.rs), one place for each upstream in all, divided among all balancers where 16 of 273 send to it. Where an upstream told its load within 3 s, its floor is now an equal part, among those who send to it, of what its cores hold up to the bound on busy cores, less what it holds. What full cores hold is learned from reports between 0.2 and 0.8 of util.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,6 +33,9 @@
 const BUSY_MORE: f64 = 0.4;
 /// Seconds for which a report of it stands without a further one of the same upstream.
 const BUSY_KEPT: f64 = 3.0;
+/// Shares of the cores in use between which a report tells what is held with all in use, and its weight.
+const FULL_FROM: (f64, f64) = (0.2, 0.8);
+const FULL_NEWEST: f64 = 0.02;
 /// Bucket size T_i: a second of the guarantee or this share of the tenant's demand, whichever is more, and
 /// this many tokens, so that a small tenant's chance pairs are not refused.
 const BUCKET: f64 = 0.2;
@@ -147,6 +150,7 @@
     room: f64,     // W
     crowd: f64,    // what those in turn hold of others for their capacity, by their reports
     busy: f64,     // share of the upstreams' cores in use, by their reports
+    full: f64,     // what one of unit size holds with all its cores in use, and nothing waiting
     retries: f64,
     ticking: bool,
     last_tick: f64,
@@ -339,11 +343,10 @@
         let told = |u: &&Upstream| u.busy_at > 0.0 && at - u.busy_at < BUSY_KEPT;
         let telling = self.in_turn().filter(told);
         let (busy, size) = telling.fold((0.0, 0.0), |(b, size), u| (b + u.size * u.busy, size + u.size));
-        let told = size > 0.0;
-        if told {
+        if size > 0.0 {
             self.busy = busy / size;
         }
-        let part = if told { ROOM_TOLD } else { ROOM };
+        let part = if size > 0.0 { ROOM_TOLD } else { ROOM };
         let slack =
             classes.map(|(c, l)| part * c.aim.as_secs_f64() - l.latency).fold(f64::INFINITY, f64::min);
         let mut within = (self.latency() + slack).max(0.0);
@@ -351,10 +354,10 @@
         self.rate_now += (tau / RATE_OVER).min(1.0) * (self.done / tau.max(1e-6) - self.rate_now);
         self.done = 0.0;
         let seen = self.rate_now / weights;
-        if told {
-            let busy = BUSY + BUSY_MORE * self.set.over_share_worth.min(0.5);
+        let bound = BUSY + BUSY_MORE * self.set.over_share_worth.min(0.5);
+        if size > 0.0 {
             // A rate once reached under load would go on admitting what turns a crowded upstream slow.
-            let able = seen * (busy / self.busy.max(0.1)).min(2.0);
+            let able = seen * (bound / self.busy.max(0.1)).min(2.0);
             // Nor is it under what they do now, if that keeps them no busier.
             self.rate = (self.rate + (tau / RATE_OVER).min(1.0) * (able - self.rate)).max(seen.min(able));
             within = within.min(self.latency());
@@ -370,7 +373,11 @@
             // are stuck, W and what is missing are nil together and no guarantee is cut.
             let held = f64::from(u.in_flight) + u.ghosts;
             let free = 1.0 - (f64::from(u.overdue) + u.ghosts) / held.max(1.0);
-            let all = (c * within).max(u.weight / balancers) * free;
+            // Nor is it less than an equal part of what the cores that are told to be idle can hold, however
+            // little this balancer has admitted, and so heard of, lately.
+            let idle =
+                if told(&u) && u.started.is_none() { bound * self.full * u.size - u.told } else { 0.0 };
+            let all = (c * within).max(u.weight / balancers).max(idle / self.sharers) * free;
             room += tau * c * free + all - held;
             taken += held;
         }
@@ -798,6 +805,11 @@
             }
         }
         if let Some(most) = most {
+            u.told = most;
+            let full = most / (u.busy * u.size).max(1e-9);
+            if (FULL_FROM.0..FULL_FROM.1).contains(&u.busy) && u.busy_at >= self.at && full > 0.0 {
+                self.full += if self.full > 0.0 { FULL_NEWEST } else { 1.0 } * (full - self.full);
+            }
             (u.held, u.held_at) = (most * others, self.at);
         }
     }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -210,3 +210,48 @@
     });
     assert!(told.is_some_and(|t| t >= ms(10) && t <= longest), "{told:?}");
 }
+
+/// A hundred balancers share ten upstreams, and each gets fifteen requests a second.
+fn shared(tenants: &[f64]) -> Bench {
+    let (reports, report_fields) = (Reports::Inline, vec![LoadField::Utilization, LoadField::InFlight]);
+    Bench::new(Settings { reports, report_fields, ..settings(100, tenants) }, &fleet(10))
+}
+
+/// Fifteen requests a second, each answered after 100 ms with this load report; returns how many were sent.
+fn play(bench: &mut Bench, count: usize, load: [f32; 2]) -> usize {
+    let (mut open, mut sent) = (Vec::new(), 0);
+    for _ in 0..count {
+        let id = bench.request(0, 0, ms(1000));
+        if let Some(upstream) = bench.at(id, 0) {
+            sent += 1;
+            open.push((bench.now + ms(100), id, upstream));
+        }
+        bench.run(ms(66));
+        while open.first().is_some_and(|o| bench.now >= o.0) {
+            let (_, id, upstream) = open.remove(0);
+            bench.ended(id, 0, Outcome::Ok);
+            let (outcome, latency) = (Outcome::Ok, ms(1));
+            bench.tell(Event::ProbeEnded { upstream, outcome, latency, report: &load });
+        }
+    }
+    open.into_iter().for_each(|o| bench.ended(o.1, 0, Outcome::Ok));
+    sent
+}
+
+/// Where little has been let in, C is little: what the upstreams say of idle cores opens W again all the same.
+#[test]
+fn cores_told_to_be_idle_open_w_after_little_was_let_in() {
+    let mut bench = shared(&[1500.0]);
+    play(&mut bench, 150, [0.65, 9.0]);
+    bench.run(ms(15_000));
+    let mut all_say = |load: [f32; 2]| {
+        for id in 1..=10 {
+            let (upstream, outcome, latency) = (UpstreamId(id), Outcome::Ok, ms(1));
+            bench.tell(Event::ProbeEnded { upstream, outcome, latency, report: &load });
+        }
+        bench.run(ms(50));
+        bench.balancer.standing().room
+    };
+    let (full, idle) = (all_say([0.9, 30.0]), all_say([0.1, 1.0]));
+    assert!(idle > full + 0.2, "W is {idle} at a tenth of the cores in use, {full} with all");
+}
