Bound sends to an upstream by the clock and keep ejected ones' places in the subset

Those left fall one after another, each as it looks emptiest.

At fault, in choice.rs. `choose_subset` gave an ejected one's place to another at once: W and what is sent stay whole, on fewer. `step` and `further` send to one upstream whatever the ring yields there when others are skipped. `grant` divided completions of the past 2 s by the weights of now, so that C of those left rose by itself. Now an ejected one keeps its place up to half of a subset; each upstream's sends earn by the clock what C says, scaled by how busy it says it is next to the others and by what waits there; weights are smoothed as completions are. Where few share an upstream its load is this balancer's own: the bound widens by s / (s - 1) for s that share, and one balancer alone has none.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -89,6 +89,8 @@
 /// Seconds over which a report of what an upstream holds fades, and for which it tells of the others.
 const REPORT_KEPT: f64 = 1.0;
 const REPORT_MOST: f64 = 3.0;
+/// Sends to an upstream that can be saved up, where many share it.
+const BUDGET: f64 = 1.5;
 /// Upstreams a further attempt looks at for the least loaded.
 const FURTHER_LOOK: usize = 6;
 /// Upstreams in a subset for each request a second that the balancer may get, and at the least.
@@ -146,6 +148,7 @@
     done: f64,     // completions of the running tick
     firsts: f64,   // first tries of the running tick
     asked: f64,    // first tries a second, smoothed
+    weights: f64,  // turn weight of all in turn, smoothed
     rate_now: f64, // completions a second, smoothed
     room: f64,     // W
     crowd: f64,    // what those in turn hold of others for their capacity, by their reports
@@ -353,7 +356,10 @@
         let weights: f64 = self.in_turn().map(|u| u.weight).sum::<f64>().max(1e-9);
         self.rate_now += (tau / RATE_OVER).min(1.0) * (self.done / tau.max(1e-6) - self.rate_now);
         self.done = 0.0;
-        let seen = self.rate_now / weights;
+        // Of what took turns meanwhile: C of those left is not more as soon as others drop out.
+        let over = if self.weights > 0.0 { RATE_OVER } else { 0.0 };
+        self.weights += (tau / over).min(1.0) * (weights - self.weights);
+        let seen = self.rate_now / self.weights.max(1e-9);
         let bound = BUSY + BUSY_MORE * self.set.over_share_worth.min(0.5);
         if size > 0.0 {
             // A rate once reached under load would go on admitting what turns a crowded upstream slow.
@@ -450,11 +456,21 @@
         // A cold upstream earns turns by the clock: where others are skipped the ring turns faster.
         let each = if warm > 0.0 { self.rate * warm_rate / warm } else { self.rate };
         let cold = COLD_SHARE * self.set.fall_multiple;
+        // What others send shows late: each sends what C says, whoever drops out. Where few share one,
+        // what it holds is this balancer's own, and the skip rule sees it at once.
+        let spare = (self.sharers / (self.sharers - 1.0).max(1e-3)).min(1e3);
         for j in &self.turns {
             let u = &mut self.ring[*j];
             if u.started.is_some() {
                 u.credit = (u.credit + tau * each * cold * u.weight).min(1.5);
             }
+            let mut rate = (self.rate * u.weight).max(u.weight / self.sharers);
+            if self.at - u.busy_at < BUSY_KEPT && self.full > 0.0 {
+                // Less where it says that it is busier than the others, or that more waits.
+                rate *= (self.busy / u.busy.max(0.1)).clamp(0.5, 1.5);
+                rate /= (u.told / (self.full * u.size)).clamp(1.0, 4.0);
+            }
+            u.budget = (u.budget + tau * spare * rate).min(BUDGET * spare);
         }
     }
 
@@ -468,6 +484,11 @@
         own / u.capacity + reported
     }
 
+    /// Whether it has had its sends for now. A cold one earns turns by the clock anyway.
+    fn spent(&self, u: &Upstream) -> bool {
+        self.busy > 0.0 && u.started.is_none() && u.budget < 1.0
+    }
+
     /// Steps the counter to the next upstream that has earned a turn.
     fn step(&mut self) -> Option<usize> {
         for _ in 0..self.turns.len() * 8 {
@@ -511,7 +532,8 @@
         let doubted = |u: &Upstream| u.doubt > DOUBTED && (once || u.in_flight > 0);
         let all =
             out >= self.turns.len() || self.turns.iter().all(|j| ill(self, *j) || doubted(&self.ring[*j]));
-        let fit = |b: &Self, j: usize| all || !(b.ring[j].health[class].ejected || doubted(&b.ring[j]));
+        let ill = |b: &Self, j: usize| b.ring[j].health[class].ejected || doubted(&b.ring[j]);
+        let fit = |b: &Self, j: usize| !b.spent(&b.ring[j]) && (all || !ill(b, j));
         let mut sight = self.ahead.iter().filter(|j| fit(self, **j)).count();
         while sight < LOOK_AHEAD && self.ahead.len() < LOOK_AHEAD + self.turns.len() {
             let Some(j) = self.step() else { break };
@@ -547,6 +569,7 @@
         }
         u.used_at = self.at;
         u.in_flight += 1;
+        u.budget = (u.budget - 1.0).max(0.0);
         let class = &self.set.classes[r.class];
         let overdue = self.classes[r.class].usual.min(OVERDUE_BY * class.aim.as_secs_f64());
         // Where no second copy may run beside the first, what may be repeated is given up when overdue.
@@ -613,6 +636,7 @@
             && u.started.is_none()
             && u.ejected_until <= self.at
             && !u.health[r.class].ejected
+            && !self.spent(u)
             && r.attempts.iter().all(|a| a.upstream != u.id)
             && self.safe(r, u)
     }
@@ -852,6 +876,7 @@
                     started,
                     credit,
                     capacity: 1.0,
+                    budget: BUDGET,
                     heard: f64::NEG_INFINITY,
                     fresh: !first,
                     ..Upstream::default()
@@ -912,7 +937,7 @@
         let all = least * 5 >= n * 4;
         let blocks = (n / equal.max(1)).max(1);
         let (round, place) = (self.set.index as usize / blocks, self.set.index as usize % blocks * equal);
-        let mut members = 0;
+        let (mut members, mut ill) = (0, 0);
         // When more seem ill, the fault is not theirs.
         let out = order.iter().filter(|j| self.ring[**j].ejected_until > self.at).count() as f64;
         let now = if out <= EJECTED_MOST * n as f64 { self.at } else { f64::INFINITY };
@@ -929,10 +954,14 @@
             let u = &mut self.ring[*j];
             let usable = u.ejected_until <= now;
             // Once in it stays in, so that connections stay warm; newcomers have their place by the order.
-            u.member = all || (usable && (u.member || (u.fresh && rank < least)));
+            u.member = all || u.member || (usable && u.fresh && rank < least);
             u.fresh &= !usable;
             members += usize::from(u.member);
+            ill += usize::from(u.member && !usable);
         }
+        // Who is ejected keeps its place, up to half of them: else all who share it move its load to others
+        // at once, and these are the next to fall.
+        let least = least.max(ill + least.div_ceil(2));
         for j in &order {
             let u = &mut self.ring[*j];
             if members < least && !u.member && u.ejected_until <= now {
--- a/src/state.rs
+++ b/src/state.rs
@@ -19,8 +19,9 @@
     pub(crate) ghosts: f64, // given up, and perhaps still at work there; fading over the shortest aim
     pub(crate) held: f64,   // what others hold there, by the latest report
     pub(crate) held_at: f64,
-    pub(crate) told: f64, // what it holds in all, by the same
-    pub(crate) busy: f64, // share of its cores in use, by the latest report
+    pub(crate) told: f64,   // what it holds in all, by the same
+    pub(crate) budget: f64, // sends earned by the clock
+    pub(crate) busy: f64,   // share of its cores in use, by the latest report
     pub(crate) busy_at: f64,
     pub(crate) pace: f64,  // mean of latency over what is usual for the class
     pub(crate) seen: f64,  // answers behind it, fading
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -238,6 +238,17 @@
     sent
 }
 
+/// Part of the fleet is lost. Every balancer moving its load to those left at once is what fells them next.
+#[test]
+fn those_left_get_no_more_than_they_can_do_when_others_drop_out() {
+    let mut bench = shared(&[1500.0]);
+    assert!(play(&mut bench, 300, [0.65, 9.0]) > 280, "all are sent while all are there");
+    let gone: Vec<_> = (1..=6).map(|id| Listed { availability: Availability::Gone, ..listed(id) }).collect();
+    bench.tell(Event::Fleet { scope: FleetScope::Changes, listed: &gone });
+    let left = play(&mut bench, 45, [0.65, 9.0]);
+    assert!((10..=30).contains(&left), "{left} of 45 in 3 s to four of ten upstreams that did 18");
+}
+
 /// Where little has been let in, C is little: what the upstreams say of idle cores opens W again all the same.
 #[test]
 fn cores_told_to_be_idle_open_w_after_little_was_let_in() {
