Tell in the log, by class, what ended each request

Nothing in the log said why a request was refused: for want of a token, of W, or by the clock bound on sends; nor what became of each class.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -5,10 +5,11 @@
 //! is never entered twice; tasks only ever add to the queue.
 
 use crate::discovery::{Discovery, News};
+use crate::tally::Tally;
 use crate::upstream::{Ended, Outgoing, Served, Upstreams};
 use lapisroute::{
-    Action, AttemptNo, Balancer, ClassId, Event, FleetScope, Listed, Outcome, RequestId, TenantId, TimerId,
-    UpstreamId,
+    Action, AttemptNo, Balancer, ClassId, Event, FleetScope, Listed, Loss, Outcome, RequestId, TenantId,
+    TimerId, UpstreamId,
 };
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
@@ -91,23 +92,12 @@
 
 struct Held {
     asked: Rc<Asked>,
+    came: Instant,
     /// Taken with the final answer.
     reply: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
 }
 
-/// What has become of requests and attempts since the last line that said so.
-#[derive(Debug, Default)]
-struct Tally {
-    asked: u32,
-    served: u32,
-    refused: u32,
-    failed: u32,
-    gone: u32,
-    /// Attempts that ended without an answer.
-    lost: u32,
-}
-
 struct Core {
     balancer: Balancer,
     requests: FxHashMap<RequestId, Held>,
@@ -129,16 +119,16 @@
 }
 
 impl Driver {
-    /// A driver with the list of upstreams known before the start.
-    pub fn start(balancer: Balancer, upstreams: Upstreams, discovery: Discovery, known: News) -> Rc<Self> {
+    /// A driver with the list of upstreams known before the start, and an empty tally of its classes.
+    pub fn start(
+        balancer: Balancer,
+        tally: Tally,
+        upstreams: Upstreams,
+        discovery: Discovery,
+        known: News,
+    ) -> Rc<Self> {
         let start_unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let core = Core {
-            balancer,
-            requests: FxHashMap::default(),
-            actions: Vec::new(),
-            next_id: 0,
-            tally: Tally::default(),
-        };
+        let core = Core { balancer, requests: FxHashMap::default(), actions: Vec::new(), next_id: 0, tally };
         let driver = Rc::new(Self {
             clock: Clock { start: Instant::now(), start_unix },
             core: RefCell::new(core),
@@ -165,7 +155,8 @@
             // Ids are not reused while one may be in use: they go round only after 2^32 requests.
             let id = RequestId(core.next_id);
             core.next_id = core.next_id.wrapping_add(1);
-            let held = Held { asked: Rc::new(asked), reply: Some(reply), attempts: Vec::new() };
+            let (came, reply) = (Instant::now(), Some(reply));
+            let held = Held { asked: Rc::new(asked), came, reply, attempts: Vec::new() };
             core.requests.insert(id, held);
             id
         };
@@ -194,8 +185,9 @@
         loop {
             sleep(STANDING_EVERY).await;
             let core = &mut *self.core.borrow_mut();
-            let (tally, standing) = (std::mem::take(&mut core.tally), core.balancer.standing());
-            tracing::info!(held = core.requests.len(), ?tally, ?standing);
+            let standing = core.balancer.standing();
+            tracing::info!(held = core.requests.len(), tally = %core.tally, ?standing);
+            core.tally.clear();
         }
     }
 
@@ -231,8 +223,8 @@
             }
             Happening::Asked(id) => {
                 let Some(held) = core.requests.get(&id) else { return };
-                core.tally.asked += 1;
                 let asked = &held.asked;
+                core.tally.asked(asked.class);
                 let event = Event::Request {
                     id,
                     class: asked.class,
@@ -253,7 +245,7 @@
                     return;
                 };
                 attempt.out = false;
-                core.tally.lost += u32::from(ended.outcome != Outcome::Ok);
+                core.tally.attempt(held.asked.class, ended.outcome);
                 let (upstream, latency) = (attempt.upstream, attempt.sent.elapsed());
                 let (outcome, report) = (ended.outcome, &ended.report);
                 tracing::debug!(id = id.0, no = no.0, upstream = upstream.0, ?latency, ?outcome, ?report);
@@ -261,7 +253,7 @@
                 if let Some(served) = ended.served
                     && let Some(reply) = held.reply.take()
                 {
-                    core.tally.served += 1;
+                    core.tally.served(held.asked.class, held.came.elapsed());
                     // Where the client has just gone, nobody waits for it.
                     let _ = reply.send(Answer::Served(served));
                 }
@@ -286,7 +278,7 @@
             Happening::Gone(id) => {
                 let Some(held) = core.requests.get_mut(&id) else { return };
                 if held.reply.take().is_some() {
-                    core.tally.gone += 1;
+                    core.tally.gone(held.asked.class);
                     core.balancer.handle(now, Event::RequestGone { id }, &mut actions);
                 }
                 self.forget_if_over(core, id);
@@ -331,8 +323,14 @@
                     self.queue.borrow_mut().push_back(cancelled);
                 }
             }
-            Action::Refuse { id, retry_after } => self.answer(core, id, Answer::Refused(retry_after)),
-            Action::Fail { id } => self.answer(core, id, Answer::Failed),
+            Action::Refuse { id, retry_after, why } => {
+                tracing::debug!(id = id.0, ?retry_after, ?why, "refused");
+                self.answer(core, id, Answer::Refused(retry_after), why);
+            }
+            Action::Fail { id, why } => {
+                tracing::debug!(id = id.0, ?why, "failed");
+                self.answer(core, id, Answer::Failed, why);
+            }
             Action::Timer { after, timer } => {
                 let driver = Rc::clone(self);
                 spawn_local(async move {
@@ -386,19 +384,12 @@
         held.attempts.push(Attempt { upstream, sent, task: task.abort_handle(), out: true });
     }
 
-    fn answer(&self, core: &mut Core, id: RequestId, answer: Answer) {
-        if let Some(reply) = core.requests.get_mut(&id).and_then(|held| held.reply.take()) {
-            match answer {
-                Answer::Served(_) => core.tally.served += 1,
-                Answer::Refused(retry_after) => {
-                    tracing::debug!(id = id.0, ?retry_after, "refused");
-                    core.tally.refused += 1;
-                }
-                Answer::Failed => {
-                    tracing::debug!(id = id.0, "failed");
-                    core.tally.failed += 1;
-                }
-            }
+    /// Gives a request its final answer, which is not an upstream's.
+    fn answer(&self, core: &mut Core, id: RequestId, answer: Answer, why: Loss) {
+        if let Some(held) = core.requests.get_mut(&id)
+            && let Some(reply) = held.reply.take()
+        {
+            core.tally.lost(held.asked.class, why);
             let _ = reply.send(answer);
         }
         self.forget_if_over(core, id);
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -7,6 +7,7 @@
 mod headers;
 mod seldom;
 mod server;
+mod tally;
 mod upstream;
 
 use config::Config;
@@ -18,6 +19,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
+use tally::Tally;
 use tokio::net::TcpListener;
 use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{SignalKind, signal};
@@ -68,7 +70,8 @@
     let discovery = Discovery::new(config.discovery, config.site.names.clone());
     let known = discovery.known(&config.known);
     tracing::info!(listen = %listener.local_addr()?, upstreams = known.entries.len(), "serving");
-    let driver = Driver::start(balancer, upstreams, discovery, known);
+    let tally = Tally::new(&config.site);
+    let driver = Driver::start(balancer, tally, upstreams, discovery, known);
     let (phase, phases) = watch::channel(Phase::Serving);
     let server = Server::new(driver.clone(), &config.site, phases);
     let mut accepting = spawn_local(server.run(listener, config.client_connections()));
--- /dev/null
+++ b/node/src/tally.rs
@@ -0,0 +1,132 @@
+//! What became of requests, by class, since the log last said so.
+
+use lapisroute::{ClassId, Loss, Outcome};
+use lapisroute_settings::Site;
+use std::fmt;
+use std::time::Duration;
+
+/// Counts of one class.
+#[derive(Default)]
+struct Counts {
+    asked: u32,
+    /// Answered by an upstream within the aim, and after it.
+    in_time: u32,
+    after_aim: u32,
+    /// The client went away first.
+    gone: u32,
+    /// Attempts made, and those that ended without an answer.
+    attempts: u32,
+    unanswered: u32,
+    lost: [u32; Loss::ALL.len()],
+}
+
+struct Class {
+    name: String,
+    aim: Duration,
+    counts: Counts,
+}
+
+/// What became of the requests of each class; shown, only what is not nil:
+/// `pay: asked 9, in-time 6, room 2, silent 1, attempts 7, unanswered 1`.
+pub struct Tally(Vec<Class>);
+
+impl Tally {
+    /// An empty one for the classes of a site.
+    pub fn new(site: &Site) -> Self {
+        let classes = site.names.classes.iter().zip(&site.settings.classes);
+        let class = |(name, class): (&String, &lapisroute::Class)| Class {
+            name: name.clone(),
+            aim: class.aim,
+            counts: Counts::default(),
+        };
+        Self(classes.map(class).collect())
+    }
+
+    /// Begins anew.
+    pub fn clear(&mut self) {
+        self.0.iter_mut().for_each(|class| class.counts = Counts::default());
+    }
+
+    /// A request has come.
+    pub fn asked(&mut self, class: ClassId) {
+        self.count(class, |c| c.asked += 1);
+    }
+
+    /// A request has an upstream's answer, so long after it came.
+    pub fn served(&mut self, class: ClassId, after: Duration) {
+        let Some(class) = self.0.get_mut(usize::from(class.0)) else { return };
+        *if after <= class.aim { &mut class.counts.in_time } else { &mut class.counts.after_aim } += 1;
+    }
+
+    /// A client has gone away from a request.
+    pub fn gone(&mut self, class: ClassId) {
+        self.count(class, |c| c.gone += 1);
+    }
+
+    /// A request was refused or has failed.
+    pub fn lost(&mut self, class: ClassId, why: Loss) {
+        self.count(class, |c| c.lost[why as usize] += 1);
+    }
+
+    /// An attempt has ended.
+    pub fn attempt(&mut self, class: ClassId, outcome: Outcome) {
+        self.count(class, |c| {
+            c.attempts += 1;
+            c.unanswered += u32::from(outcome != Outcome::Ok);
+        });
+    }
+
+    fn count(&mut self, class: ClassId, add: impl FnOnce(&mut Counts)) {
+        if let Some(class) = self.0.get_mut(usize::from(class.0)) {
+            add(&mut class.counts);
+        }
+    }
+}
+
+impl fmt::Display for Tally {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut apart = "";
+        for Class { name, counts, .. } in self.0.iter().filter(|c| c.counts.asked + c.counts.attempts > 0) {
+            write!(f, "{apart}{name}: asked {}", counts.asked)?;
+            let lost = Loss::ALL.iter().map(|why| (why.word(), counts.lost[*why as usize]));
+            let first = [("in-time", counts.in_time), ("after-aim", counts.after_aim)].into_iter();
+            let last =
+                [("gone", counts.gone), ("attempts", counts.attempts), ("unanswered", counts.unanswered)];
+            for (what, n) in first.chain(lost).chain(last).filter(|(_, n)| *n > 0) {
+                write!(f, ", {what} {n}")?;
+            }
+            apart = "; ";
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_class_says_only_what_is_not_nil() {
+        let site = lapisroute_settings::parse(
+            r#"{"classes": [{"name": "look", "aim_ms": 100}, {"name": "pay", "aim_ms": 200}]}"#,
+        );
+        let mut tally = Tally::new(&site.expect("a site"));
+        assert_eq!(tally.to_string(), "");
+        let pay = ClassId(1);
+        for (k, why) in Loss::ALL.iter().enumerate() {
+            assert_eq!(*why as usize, k, "the order of the numbers");
+        }
+        (0..4).for_each(|_| tally.asked(pay));
+        tally.served(pay, Duration::from_millis(200));
+        tally.served(pay, Duration::from_millis(201));
+        tally.lost(pay, Loss::Room);
+        tally.lost(pay, Loss::Silent);
+        tally.attempt(pay, Outcome::Ok);
+        tally.attempt(pay, Outcome::TimedOut);
+        tally.gone(ClassId(9));
+        let shown = "pay: asked 4, in-time 1, after-aim 1, room 1, silent 1, attempts 2, unanswered 1";
+        assert_eq!(tally.to_string(), shown);
+        tally.clear();
+        assert_eq!(tally.to_string(), "");
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -259,15 +259,19 @@
     /// A request is admitted when its tenant's bucket has a token for it, else refused on arrival.
     fn request(&mut self, id: RequestId, class: usize, tenant: usize, left: Duration) {
         if class >= self.classes.len() {
-            self.out.push(Action::Fail { id });
+            self.out.push(Action::Fail { id, why: Loss::Unknown });
             return;
         }
         let tenant = tenant.min(self.buckets.len() - 1);
         let bucket = &mut self.buckets[tenant];
         bucket.arrivals += 1.0;
-        let turn = if bucket.tokens >= 1.0 { self.next_turn(class) } else { None };
-        let Some(turn) = turn else {
-            self.refuse(id, left);
+        if bucket.tokens < 1.0 {
+            self.refuse(id, left, if self.room > 0.0 { Loss::Token } else { Loss::Room });
+            return;
+        }
+        let Some(turn) = self.next_turn(class) else {
+            let waits = self.in_turn().any(|u| u.weight > 0.0 && !u.health[class].ejected && self.spent(u));
+            self.refuse(id, left, if waits { Loss::Clock } else { Loss::Nobody });
             return;
         };
         self.buckets[tenant].tokens -= 1.0;
@@ -288,12 +292,12 @@
 
     /// A refusal always tells when to come back. The moment is spread by the request's own number, so that
     /// those refused together do not return together.
-    fn refuse(&mut self, id: RequestId, left: Duration) {
+    fn refuse(&mut self, id: RequestId, left: Duration, why: Loss) {
         // No sooner than an attempt takes, however little of this try is left: the client may have another.
         let least = Duration::from_secs_f64(self.latency().max(TICK));
         let longest = self.set.max_retry_after.min(least.max(left / 2));
         let retry_after = longest.mul_f64(0.5 + 0.5 * Chance::with_seed(u64::from(id.0)).f64());
-        self.out.push(Action::Refuse { id, retry_after: Some(retry_after) });
+        self.out.push(Action::Refuse { id, retry_after: Some(retry_after), why });
     }
 
     /// The tick: W and the grants, then the fleet's weights, overdue attempts and discovery.
@@ -667,6 +671,7 @@
         let (upstream, was_overdue, class, ended) = (a.upstream, (a.overdue, a.idle), r.class, r.ended);
         let owed = !finished && !ended;
         let (others, deadline) = (r.attempts.iter().any(|a| a.out), r.deadline);
+        let sent = r.attempts[usize::from(attempt)].sent;
         self.learn(upstream, class, outcome, latency, was_overdue);
         if finished {
             self.end(id);
@@ -674,7 +679,16 @@
             // A try that never ran adds no work to the fleet: it costs a tenth.
             let cost = if outcome.never_ran() { 0.1 } else { 1.0 };
             if !self.further(id, cost) {
-                self.give_up(id, deadline);
+                let heard = self.index.get(&upstream).is_some_and(|j| self.ring[*j].heard >= sent);
+                let why = match outcome {
+                    Outcome::Error => Loss::Error,
+                    Outcome::Rejected => Loss::TurnedAway,
+                    Outcome::ConnectFailed | Outcome::Reset => Loss::Broken,
+                    Outcome::NotSent => Loss::NotSent,
+                    _ if heard => Loss::Late,
+                    _ => Loss::Silent,
+                };
+                self.give_up(id, deadline, why);
             }
         }
         if ended && !others {
@@ -683,14 +697,14 @@
     }
 
     /// The final answer when no attempt is out and none may follow: a refusal only if nothing can have run.
-    fn give_up(&mut self, id: RequestId, deadline: f64) {
+    fn give_up(&mut self, id: RequestId, deadline: f64, why: Loss) {
         let Some(r) = self.requests.remove(&id) else { return };
         let safe = self.set.classes[r.class].effect == Effect::Idempotent;
         if safe || r.attempts.iter().all(|a| !a.may_have_run) {
             let left = (deadline - self.at).max(0.0);
-            self.refuse(id, Duration::from_secs_f64(left.min(1e6)));
+            self.refuse(id, Duration::from_secs_f64(left.min(1e6)), why);
         } else {
-            self.out.push(Action::Fail { id });
+            self.out.push(Action::Fail { id, why });
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -405,6 +405,67 @@
     }
 }
 
+/// What ended a request without an answer that could be passed on, as a final answer says it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// No class of the settings.
+    Unknown,
+    /// Its tenant's bucket had no token, though W left some room: it asked for more than its share.
+    Token,
+    /// Its tenant's bucket had no token, and W left no room.
+    Room,
+    /// Every upstream that could take it had been sent what it can do for now.
+    Clock,
+    /// No upstream in turn could take it: none ready, or all ejected or in doubt.
+    Nobody,
+    /// Its last attempt was not answered, nor was anything else sent to that upstream, for as long.
+    Silent,
+    /// Its last attempt was given up or its time ran out, though that upstream answered others.
+    Late,
+    /// The connection of its last attempt broke or never came up.
+    Broken,
+    /// Its last attempt was answered with an error.
+    Error,
+    /// Its last attempt was turned away unseen.
+    TurnedAway,
+    /// Its last attempt was not sent: no connection was to be had, or the process is about to end.
+    NotSent,
+}
+
+impl Loss {
+    /// All of them, in the order of their numbers.
+    pub const ALL: [Self; 11] = [
+        Self::Unknown,
+        Self::Token,
+        Self::Room,
+        Self::Clock,
+        Self::Nobody,
+        Self::Silent,
+        Self::Late,
+        Self::Broken,
+        Self::Error,
+        Self::TurnedAway,
+        Self::NotSent,
+    ];
+
+    /// Its word in the operators' log.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Unknown => "unknown",
+            Self::Token => "token",
+            Self::Room => "room",
+            Self::Clock => "clock",
+            Self::Nobody => "nobody",
+            Self::Silent => "silent",
+            Self::Late => "late",
+            Self::Broken => "broken",
+            Self::Error => "error",
+            Self::TurnedAway => "turned-away",
+            Self::NotSent => "not-sent",
+        }
+    }
+}
+
 /// Something the embedder tells [`Balancer`](crate::Balancer).
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event<'a> {
@@ -504,11 +565,15 @@
         id: RequestId,
         /// How long the client should stay away.
         retry_after: Option<Duration>,
+        /// What ended it.
+        why: Loss,
     },
     /// Final answer: failed; nothing is promised of the effect.
     Fail {
         /// The request.
         id: RequestId,
+        /// What ended it.
+        why: Loss,
     },
     /// Ask for [`Event::Timer`] after some time.
     Timer {
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -266,3 +266,42 @@
     let (full, idle) = (all_say([0.9, 30.0]), all_say([0.1, 1.0]));
     assert!(idle > full + 0.2, "W is {idle} at a tenth of the cores in use, {full} with all");
 }
+
+/// On-call staff go by what ended a request: each cause must be told from the others.
+#[test]
+fn a_final_answer_says_what_ended_the_request() {
+    let once = |fleet: &[Listed]| {
+        let classes = vec![class(400, 1000, Effect::AtMostOnce)];
+        let mut bench = Bench::new(Settings { classes, ..settings(1, &[2.0]) }, fleet);
+        bench.run(ms(100));
+        bench
+    };
+    let mut empty = once(&[]);
+    let nobody = empty.request(0, 0, ms(1000));
+    assert_eq!(empty.losses.get(&nobody), Some(&Loss::Nobody));
+    assert_eq!(empty.request(9, 0, ms(1000)), RequestId(2));
+    assert_eq!(empty.losses.get(&RequestId(2)), Some(&Loss::Unknown));
+
+    for (outcome, why) in [
+        (Outcome::TimedOut, Loss::Silent),
+        (Outcome::Reset, Loss::Broken),
+        (Outcome::Error, Loss::Error),
+        (Outcome::NotSent, Loss::NotSent),
+    ] {
+        let mut bench = once(&fleet(1));
+        let id = bench.request(0, 0, ms(1000));
+        bench.run(ms(30));
+        bench.ended(id, 0, outcome);
+        assert_eq!(bench.losses.get(&id), Some(&why), "{outcome:?}");
+    }
+
+    let mut bench = once(&fleet(1));
+    let (slow, quick) = (bench.request(0, 0, ms(1000)), bench.request(0, 0, ms(1000)));
+    bench.run(ms(30));
+    bench.ended(quick, 0, Outcome::Ok);
+    bench.ended(slow, 0, Outcome::TimedOut);
+    assert_eq!(bench.losses.get(&slow), Some(&Loss::Late), "it has answered another meanwhile");
+    let many: Vec<RequestId> = (0..40).map(|_| bench.request(0, 0, ms(1000))).collect();
+    let last = many.last().and_then(|id| bench.losses.get(id));
+    assert!(matches!(last, Some(Loss::Token | Loss::Room)), "the bucket is empty: {last:?}");
+}
