Let C grow by idle cores where the clock holds sends back

At fault, choice.rs, grant: C is what was completed of late, scaled to the bound on busy cores, both over two seconds. Where the clock bound is what holds sends back, C follows what it let through itself, and grows by a tenth a second. Now it grows besides by 0.7 a second for each part that the cores are under the bound, as far as requests were refused by the clock of late; the factor is small against reports that are a second old.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -94,6 +94,9 @@
 /// Sends to all of them that can be saved up: so many, and so many seconds' worth.
 const SAVED: f64 = 2.0;
 const SAVED_OVER: f64 = 0.1;
+/// Growth of C a second where the clock refuses, for each part that the cores are under the bound: slow
+/// against the second or so that reports are old.
+const GROWTH: f64 = 0.7;
 /// Upstreams a further attempt looks at for the least loaded.
 const FURTHER_LOOK: usize = 6;
 /// Upstreams in a subset for each request a second that the balancer may get, and at the least.
@@ -147,17 +150,18 @@
     due: BTreeSet<(Duration, RequestId, u8)>, // when attempts out become overdue
     buckets: Vec<Bucket>,
     classes: Vec<Learned>,
-    rate: f64,     // C for each unit of turn weight
-    done: f64,     // completions of the running tick
-    firsts: f64,   // first tries of the running tick
-    asked: f64,    // first tries a second, smoothed
-    weights: f64,  // turn weight of all in turn, smoothed
-    rate_now: f64, // completions a second, smoothed
-    room: f64,     // W
-    saved: f64,    // sends earned by the clock, over all in turn
-    crowd: f64,    // what those in turn hold of others for their capacity, by their reports
-    busy: f64,     // share of the upstreams' cores in use, by their reports
-    full: f64,     // what one of unit size holds with all its cores in use, and nothing waiting
+    rate: f64,      // C for each unit of turn weight
+    done: f64,      // completions of the running tick
+    firsts: f64,    // first tries of the running tick
+    asked: f64,     // first tries a second, smoothed
+    weights: f64,   // turn weight of all in turn, smoothed
+    rate_now: f64,  // completions a second, smoothed
+    room: f64,      // W
+    held_back: f64, // 1: requests were refused by the clock of late
+    saved: f64,     // sends earned by the clock, over all in turn
+    crowd: f64,     // what those in turn hold of others for their capacity, by their reports
+    busy: f64,      // share of the upstreams' cores in use, by their reports
+    full: f64,      // what one of unit size holds with all its cores in use, and nothing waiting
     retries: f64,
     ticking: bool,
     last_tick: f64,
@@ -279,6 +283,7 @@
                 u.weight > 0.0 && !u.health[class].ejected && (self.saved < 1.0 || self.spent(u))
             };
             let waits = self.in_turn().any(waits);
+            self.held_back += if waits { 0.1 * (1.0 - self.held_back) } else { 0.0 };
             self.refuse(id, left, if waits { Loss::Clock } else { Loss::Nobody });
             return;
         };
@@ -368,6 +373,7 @@
         let weights: f64 = self.in_turn().map(|u| u.weight).sum::<f64>().max(1e-9);
         self.rate_now += (tau / RATE_OVER).min(1.0) * (self.done / tau.max(1e-6) - self.rate_now);
         self.done = 0.0;
+        self.held_back -= (tau / RATE_OVER).min(1.0) * self.held_back;
         // Of what took turns meanwhile: C of those left is not more as soon as others drop out.
         let over = if self.weights > 0.0 { RATE_OVER } else { 0.0 };
         self.weights += (tau / over).min(1.0) * (weights - self.weights);
@@ -376,6 +382,9 @@
         if size > 0.0 {
             // A rate once reached under load would go on admitting what turns a crowded upstream slow.
             let able = seen * (bound / self.busy.max(0.1)).min(2.0);
+            // Where the clock holds sends back, what is completed only shows what was let through.
+            let idle = (bound / self.busy.max(0.1) - 1.0).clamp(0.0, 1.0);
+            self.rate *= 1.0 + tau * GROWTH * self.held_back * idle;
             // Nor is it under what they do now, if that keeps them no busier.
             self.rate = (self.rate + (tau / RATE_OVER).min(1.0) * (able - self.rate)).max(seen.min(able));
             within = within.min(self.latency());
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -320,3 +320,15 @@
     let sent = sent.count();
     assert!((2..=6).contains(&sent), "{sent} of 40 in an instant, where 15 a second are usual");
 }
+
+/// After a jam little is let in, so little is completed: that must not hold C down while cores are idle.
+#[test]
+fn c_grows_by_the_idle_cores_where_the_clock_holds_sends_back() {
+    let mut bench = shared(&[1500.0]);
+    play(&mut bench, 150, [0.65, 9.0]);
+    play(&mut bench, 150, [1.0, 40.0]);
+    let jammed = play(&mut bench, 30, [0.35, 4.0]);
+    play(&mut bench, 45, [0.35, 4.0]);
+    let after = play(&mut bench, 30, [0.35, 4.0]);
+    assert!(jammed <= 15 && after >= 14, "{jammed} of 30, then {after} of 30 five seconds later");
+}
