Keep saved sends for first tries where more is asked than can be sent

At fault, choice.rs, request: what is sent goes to whoever comes first. A repeat may be late before it comes, as an aim counts from the first try; and what it takes refuses a first try, which comes back as a repeat. Now repeats are admitted only while more than 0.6 of what can be saved up of sends is there; where there is no shortage it is. So that there is something to keep, three can be saved in place of two. Nothing changes where clients do not mark their repeats, or upstreams tell no load.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -92,8 +92,11 @@
 /// Sends to an upstream that can be saved up, where many share it.
 const BUDGET: f64 = 1.5;
 /// Sends to all of them that can be saved up: so many, and so many seconds' worth.
-const SAVED: f64 = 2.0;
+const SAVED: f64 = 3.0;
 const SAVED_OVER: f64 = 0.1;
+/// Part of what can be saved that is kept for first tries: a repeat may be late already, and each one let in
+/// in a shortage refuses a first try that becomes a repeat.
+const KEPT_FROM_REPEATS: f64 = 0.6;
 /// Growth of C a second where the clock refuses, for each part that the cores are under the bound: slow
 /// against the second or so that reports are old.
 const GROWTH: f64 = 0.7;
@@ -159,9 +162,10 @@
     room: f64,      // W
     held_back: f64, // 1: requests were refused by the clock of late
     saved: f64,     // sends earned by the clock, over all in turn
-    crowd: f64,     // what those in turn hold of others for their capacity, by their reports
-    busy: f64,      // share of the upstreams' cores in use, by their reports
-    full: f64,      // what one of unit size holds with all its cores in use, and nothing waiting
+    saved_most: f64,
+    crowd: f64, // what those in turn hold of others for their capacity, by their reports
+    busy: f64,  // share of the upstreams' cores in use, by their reports
+    full: f64,  // what one of unit size holds with all its cores in use, and nothing waiting
     retries: f64,
     ticking: bool,
     last_tick: f64,
@@ -247,7 +251,7 @@
             Event::Fleet { scope, listed } => self.fleet(scope, listed),
             Event::Request { id, class, tenant, time_left, repeat, .. } => {
                 self.firsts += f64::from(u8::from(!repeat));
-                self.request(id, usize::from(class.0), tenant.0 as usize, time_left);
+                self.request(id, usize::from(class.0), tenant.0 as usize, time_left, repeat);
             }
             Event::StreamStarted { id, .. } => {
                 self.requests.get_mut(&id).into_iter().for_each(|r| r.streaming = true);
@@ -265,7 +269,7 @@
     }
 
     /// A request is admitted when its tenant's bucket has a token for it, else refused on arrival.
-    fn request(&mut self, id: RequestId, class: usize, tenant: usize, left: Duration) {
+    fn request(&mut self, id: RequestId, class: usize, tenant: usize, left: Duration, repeat: bool) {
         if class >= self.classes.len() {
             self.out.push(Action::Fail { id, why: Loss::Unknown });
             return;
@@ -277,11 +281,11 @@
             self.refuse(id, left, if self.room > 0.0 { Loss::Token } else { Loss::Room });
             return;
         }
-        let turn = if self.busy > 0.0 && self.saved < 1.0 { None } else { self.next_turn(class) };
+        let kept = if repeat { KEPT_FROM_REPEATS * (self.saved_most - 1.0) } else { 0.0 };
+        let short = self.busy > 0.0 && self.saved < 1.0 + kept;
+        let turn = if short { None } else { self.next_turn(class) };
         let Some(turn) = turn else {
-            let waits = |u: &Upstream| {
-                u.weight > 0.0 && !u.health[class].ejected && (self.saved < 1.0 || self.spent(u))
-            };
+            let waits = |u: &Upstream| u.weight > 0.0 && !u.health[class].ejected && (short || self.spent(u));
             let waits = self.in_turn().any(waits);
             self.held_back += if waits { 0.1 * (1.0 - self.held_back) } else { 0.0 };
             self.refuse(id, left, if waits { Loss::Clock } else { Loss::Nobody });
@@ -497,8 +501,8 @@
             u.budget = (u.budget + tau * spare * rate).min(BUDGET * spare);
             flow += spare * rate * f64::from(u8::from(u.weight > 0.0));
         }
-        let most = SAVED + SAVED_OVER * flow;
-        self.saved = (self.saved + tau * flow).clamp(-most, most);
+        self.saved_most = SAVED + SAVED_OVER * flow;
+        self.saved = (self.saved + tau * flow).clamp(-self.saved_most, self.saved_most);
     }
 
     /// What an upstream holds for its capacity: own requests, and reported ones. With its age a report fades
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -332,3 +332,28 @@
     let after = play(&mut bench, 30, [0.35, 4.0]);
     assert!(jammed <= 15 && after >= 14, "{jammed} of 30, then {after} of 30 five seconds later");
 }
+
+/// Three tries come for each that can be sent, as in a jam. Whoever comes first is not as good as the next: a
+/// repeat may be late already, and what it takes makes a repeat of a first try.
+#[test]
+fn in_a_shortage_first_tries_go_before_repeats() {
+    let mut bench = shared(&[1500.0]);
+    play(&mut bench, 150, [0.65, 9.0]);
+    let (mut open, mut sent) = (std::collections::VecDeque::new(), [0, 0]);
+    for step in 0..600 {
+        let repeat = step % 3 != 0;
+        let id = bench.try_of(0, 0, ms(1000), repeat);
+        if bench.at(id, 0).is_some() {
+            sent[usize::from(repeat)] += 1;
+            open.push_back((bench.now + ms(100), id));
+        }
+        bench.run(ms(22));
+        while open.front().is_some_and(|(due, _)| bench.now >= *due) {
+            let id = open.pop_front().expect("one is due").1;
+            let (upstream, outcome, latency) = (bench.sent[&id][0].1, Outcome::Ok, ms(1));
+            bench.ended(id, 0, Outcome::Ok);
+            bench.tell(Event::ProbeEnded { upstream, outcome, latency, report: &[0.75, 12.0] });
+        }
+    }
+    assert!(sent[0] > 3 * sent[1], "{} first tries, {} repeats of twice as many", sent[0], sent[1]);
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -97,10 +97,15 @@
     }
 
     pub fn request(&mut self, class: u16, tenant: u32, left: Duration) -> RequestId {
+        self.try_of(class, tenant, left, false)
+    }
+
+    /// A client's request, marked where it has tried this before.
+    pub fn try_of(&mut self, class: u16, tenant: u32, left: Duration, repeat: bool) -> RequestId {
         self.next += 1;
         let id = RequestId(self.next);
         let (class, tenant) = (ClassId(class), TenantId(tenant));
-        self.tell(Event::Request { id, class, tenant, time_left: left, work_ms: None, repeat: false });
+        self.tell(Event::Request { id, class, tenant, time_left: left, work_ms: None, repeat });
         id
     }
 
