--- a/src/choice.rs
+++ b/src/choice.rs
@@ -97,6 +97,8 @@
 /// Part of what can be saved that is kept for first tries: a repeat may be late already, and each one let in
 /// in a shortage refuses a first try that becomes a repeat.
 const KEPT_FROM_REPEATS: f64 = 0.6;
+/// The same that is kept for the class of the highest worth, from one that is worth nothing.
+const KEPT_FOR_WORTH: f64 = 0.4;
 /// Growth of C a second where the clock refuses, for each part that the cores are under the bound: slow
 /// against the second or so that reports are old.
 const GROWTH: f64 = 0.7;
@@ -281,7 +283,9 @@
             self.refuse(id, left, if self.room > 0.0 { Loss::Token } else { Loss::Room });
             return;
         }
-        let kept = if repeat { KEPT_FROM_REPEATS * (self.saved_most - 1.0) } else { 0.0 };
+        let worthy = self.set.classes.iter().map(|c| c.worth).fold(1e-9, f64::max);
+        let light = KEPT_FOR_WORTH * (1.0 - self.set.classes[class].worth / worthy);
+        let kept = (self.saved_most - 1.0) * if repeat { KEPT_FROM_REPEATS } else { light };
         let short = self.busy > 0.0 && self.saved < 1.0 + kept;
         let turn = if short { None } else { self.next_turn(class) };
         let Some(turn) = turn else {
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -333,18 +333,19 @@
     assert!(jammed <= 15 && after >= 14, "{jammed} of 30, then {after} of 30 five seconds later");
 }
 
-/// Three tries come for each that can be sent, as in a jam. Whoever comes first is not as good as the next: a
-/// repeat may be late already, and what it takes makes a repeat of a first try.
-#[test]
-fn in_a_shortage_first_tries_go_before_repeats() {
-    let mut bench = shared(&[1500.0]);
+/// Three tries come for each that can be sent, as in a jam, in a fixed round of classes and repeats; returns how
+/// many of each place in the round were sent.
+fn in_a_shortage(classes: Vec<Class>, round: [(u16, bool); 3]) -> [usize; 3] {
+    let (reports, report_fields) = (Reports::Inline, vec![LoadField::Utilization, LoadField::InFlight]);
+    let settings = Settings { reports, report_fields, classes, ..settings(100, &[1500.0]) };
+    let mut bench = Bench::new(settings, &fleet(10));
     play(&mut bench, 150, [0.65, 9.0]);
-    let (mut open, mut sent) = (std::collections::VecDeque::new(), [0, 0]);
+    let (mut open, mut sent) = (std::collections::VecDeque::new(), [0; 3]);
     for step in 0..600 {
-        let repeat = step % 3 != 0;
-        let id = bench.try_of(0, 0, ms(1000), repeat);
+        let (class, repeat) = round[step % 3];
+        let id = bench.try_of(class, 0, ms(1000), repeat);
         if bench.at(id, 0).is_some() {
-            sent[usize::from(repeat)] += 1;
+            sent[step % 3] += 1;
             open.push_back((bench.now + ms(100), id));
         }
         bench.run(ms(22));
@@ -355,5 +356,24 @@
             bench.tell(Event::ProbeEnded { upstream, outcome, latency, report: &[0.75, 12.0] });
         }
     }
-    assert!(sent[0] > 3 * sent[1], "{} first tries, {} repeats of twice as many", sent[0], sent[1]);
+    sent
+}
+
+/// Whoever comes first is not as good as the next: a repeat may be late already, and what it takes makes a repeat
+/// of a first try.
+#[test]
+fn in_a_shortage_first_tries_go_before_repeats() {
+    let classes = vec![class(400, 1000, Effect::Idempotent)];
+    let [first, again, twice] = in_a_shortage(classes, [(0, false), (0, true), (0, true)]);
+    assert!(first > 3 * (again + twice), "{first} first tries, {again} and {twice} repeats");
+}
+
+/// What is worth ten times as much goes first, but the rest is not starved.
+#[test]
+fn in_a_shortage_the_worthier_class_goes_first() {
+    let worth = |worth| Class { worth, ..class(400, 1000, Effect::Idempotent) };
+    let [dear, cheap, other] =
+        in_a_shortage(vec![worth(10.0), worth(1.0)], [(0, false), (1, false), (1, false)]);
+    assert!(2 * dear > 3 * cheap.max(other), "{dear} of the dear, {cheap} and {other} of the cheap");
+    assert!(cheap + other > 20, "{cheap} and {other} of the cheap");
 }
