Let an error count for less where most other upstreams answer with errors too

One balancer, eight upstreams; a twentieth of the answers is spoilt on the way, whoever gives it.

Ruled out: the clock bound (not one request refused by it; one balancer alone has none) and W (room 1 to 11).

At fault, choice.rs, learn: two errors in a row eject, for a class and over all. At 50 answers a second and a twentieth spoilt that is chance, every other second somewhere, and each ejection doubles the next. Now an error counts for its part of the other upstreams in turn that have not erred for 5 s, 0.3 of it at the least, and a class is ejected for eight errors in a row in place of two where most have erred.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -71,6 +71,11 @@
 const DOUBT: f64 = 0.4;
 const DOUBT_BREAK: f64 = 0.3;
 const DOUBT_LEFT: f64 = 0.6;
+/// Seconds for which an error is held to tell of others' errors: where all have some, the fault is on the way or
+/// in the requests. Then an error counts for this part of itself at the least, and so many more make a fault.
+const COMMON_OVER: f64 = 5.0;
+const COMMON_LEAST: f64 = 0.3;
+const COMMON_FAULTS: u32 = 4;
 /// Doubt from which one is sent to only to see how it is, one at a time and nothing that can't be repeated;
 /// and doubt at which it is ejected: two faults in a row, or three breaks where nothing came for a while.
 const DOUBTED: f64 = 0.35;
@@ -785,6 +790,7 @@
             let before = if self.at < self.reap_until { self.reap } else { f64::INFINITY };
             (self.reap, self.reap_until) = (before.min(idle / 2.0).max(IDLE), self.at + REAP_KEPT);
         }
+        let common = self.common_errors(id);
         let out = self.turns.iter().filter(|j| self.ring[**j].health[class].ejected).count() + 1;
         let out = out as f64 <= EJECTED_MOST * self.turns.len() as f64;
         let Some(&j) = self.index.get(&id) else { return };
@@ -816,11 +822,12 @@
                 (u.held, u.held_at) = (u.held.max(2.0 * OVERDUE_HELD), self.at);
                 h.faults += 1;
             }
-            Outcome::Error => h.faults += 1,
+            Outcome::Error => (h.faults, u.erred_at) = (h.faults + 1, self.at),
             _ if slow && u.ejected_until <= self.at => h.faults += 1,
             _ => {}
         }
-        if !h.ejected && out && h.faults >= FAULTS {
+        let faults = if common > 0.5 { FAULTS * COMMON_FAULTS } else { FAULTS };
+        if !h.ejected && out && h.faults >= faults {
             (h.faults, h.ejected, h.tried) = (0, true, self.at);
             if l.trial_at <= self.at {
                 (l.trials, l.trial_at) = (0, self.at + EJECT * (0.75 + 0.5 * self.rng.f64()));
@@ -829,7 +836,8 @@
         // Where the fault is the upstream's own, it says nothing of the room elsewhere.
         u.ghosts += f64::from(u8::from(slow && !h.ejected));
         let fault = match outcome {
-            Outcome::Error | Outcome::Rejected => DOUBT,
+            Outcome::Error => DOUBT * (1.0 - common).max(COMMON_LEAST),
+            Outcome::Rejected => DOUBT,
             Outcome::ConnectFailed | Outcome::Reset => DOUBT_BREAK,
             _ => return,
         };
@@ -841,6 +849,13 @@
         }
     }
 
+    /// Share of the other upstreams in turn that have answered with an error of late.
+    fn common_errors(&self, but: UpstreamId) -> f64 {
+        let others = || self.in_turn().filter(|u| u.id != but);
+        let erred = others().filter(|u| u.erred_at > 0.0 && self.at - u.erred_at < COMMON_OVER).count();
+        erred as f64 / others().count().max(1) as f64
+    }
+
     /// A fault of an upstream, perhaps for all classes: too much in doubt, it is ejected for all of them.
     fn suspect(&mut self, j: usize, fault: f64) -> bool {
         let usual = self.latency();
--- a/src/state.rs
+++ b/src/state.rs
@@ -23,10 +23,11 @@
     pub(crate) budget: f64, // sends earned by the clock
     pub(crate) busy: f64,   // share of its cores in use, by the latest report
     pub(crate) busy_at: f64,
-    pub(crate) pace: f64,  // mean of latency over what is usual for the class
-    pub(crate) seen: f64,  // answers behind it, fading
-    pub(crate) heard: f64, // anything came back last: an answer, an error or a refusal
-    pub(crate) doubt: f64, // by faults of whatever class, less by answers
+    pub(crate) pace: f64,     // mean of latency over what is usual for the class
+    pub(crate) seen: f64,     // answers behind it, fading
+    pub(crate) erred_at: f64, // an error came back last
+    pub(crate) heard: f64,    // anything came back last: an answer, an error or a refusal
+    pub(crate) doubt: f64,    // by faults of whatever class, less by answers
     pub(crate) ejections: u32,
     pub(crate) ejected_until: f64,
     pub(crate) health: Vec<Health>, // by class
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -522,3 +522,34 @@
     let (met, _) = thin_traffic_with_one_ill(|_| Some(Outcome::Rejected));
     assert!(met <= 3, "{met} of 300 sent to one that turns all away");
 }
+
+/// Answers are spoilt on the way, one in ten from everybody: that must cost no upstream its turns; one that answers
+/// nothing but errors is still found out among them.
+#[test]
+fn errors_that_all_have_eject_nobody_and_the_one_that_has_only_errors_is_ejected() {
+    let fleet: Vec<_> = (1..=8).map(listed).collect();
+    let classes = vec![class(400, 1000, Effect::Idempotent)];
+    let mut bench = Bench::new(Settings { classes, ..Settings::default() }, &fleet);
+    let (mut chance, mut most_out) = (fastrand::Rng::with_seed(5), 0);
+    let mut play = |bench: &mut Bench, count: usize, bad: Option<u64>| {
+        for _ in 0..count {
+            let id = bench.request(0, 0, ms(1000));
+            let mut attempt = 0;
+            while let Some(upstream) = bench.at(id, attempt) {
+                bench.run(ms(3));
+                let spoilt = chance.f64() < 0.1 || bad == Some(upstream.0);
+                bench.ended(id, attempt, if spoilt { Outcome::Error } else { Outcome::Ok });
+                attempt += 1;
+            }
+            bench.run(ms(3));
+            most_out = most_out.max(bench.balancer.standing().turns.2);
+        }
+        std::mem::take(&mut most_out)
+    };
+    assert_eq!(play(&mut bench, 3000, None), 0, "ejected at a time, of eight that are all sound");
+    assert!(play(&mut bench, 600, Some(3)) > 0);
+    let before = bench.attempts_at(UpstreamId(3));
+    play(&mut bench, 600, Some(3));
+    let sent = bench.attempts_at(UpstreamId(3)) - before;
+    assert!(sent < 40, "{sent} of some 700 attempts at the one that has only errors");
+}
