--- a/src/choice.rs
+++ b/src/choice.rs
@@ -71,8 +71,8 @@
 const DOUBT: f64 = 0.4;
 const DOUBT_BREAK: f64 = 0.3;
 const DOUBT_LEFT: f64 = 0.6;
-/// Seconds for which an error is held to tell of others' errors: where all have some, the fault is on the way or
-/// in the requests. Then an error counts for this part of itself at the least, and so many more make a fault.
+/// Seconds for which an error tells of the others': where all have some, the fault is on the way. Then one
+/// counts for this part of itself at the least, and so many times as many in a row make a fault.
 const COMMON_OVER: f64 = 5.0;
 const COMMON_LEAST: f64 = 0.3;
 const COMMON_FAULTS: u32 = 4;
