Add the lab, its command line, and frostkeel demo

Change. lab/: experiment files (TOML, refused with line and reason), upstreams as a pure state machine (cores, queue, cold start and fall, choke, late and noisy reports) behind sockets at an address for each balancer, the list service with watches, open-loop clients with retries, balancers as children of the real program under a guard that kills them when the lab is killed, process faults, a history of every event, seven checks over all of it, figures, and a report with plots. frostkeel/: demo, lab run, check, compare.

A short play with a killed balancer, a killed and a silent upstream keeps every rule in the tests (6 s), and children end when their lab is killed.

--- /dev/null
+++ b/frostkeel/src/lab.rs
@@ -0,0 +1,267 @@
+//! `frostkeel demo` and `frostkeel lab`.
+
+use clap::{Args, Subcommand};
+use frostkeel_lab::experiment::Experiment;
+use frostkeel_lab::{Options, Played, Progress, play, report};
+use std::error::Error;
+use std::io::{IsTerminal, Write};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use tokio::sync::watch;
+
+const DEMO: &str = include_str!("../../lab/experiments/demo.toml");
+/// The balancer's program, beside this one.
+const BALANCER: &str = "maplehook";
+
+/// Where a play's programs and files are.
+#[derive(Args)]
+pub struct Place {
+    /// The balancer's program; beside this one unless named.
+    #[arg(long)]
+    balancer: Option<PathBuf>,
+    /// Folder for the report, the events and the children's logs; a new one in the temporary folder unless named.
+    #[arg(long)]
+    out: Option<PathBuf>,
+    /// Seed in place of the experiment's own.
+    #[arg(long)]
+    seed: Option<u64>,
+}
+
+/// What the lab does.
+#[derive(Subcommand)]
+pub enum Lab {
+    /// Play an experiment, check every rule over its whole history, and write a report.
+    Run {
+        /// The experiment.
+        file: PathBuf,
+        #[command(flatten)]
+        place: Place,
+    },
+    /// Say whether an experiment can be meant.
+    Check {
+        /// The experiment.
+        file: PathBuf,
+    },
+    /// Play an experiment with two balancers' programs in turn, and compare their figures.
+    Compare {
+        /// The experiment.
+        file: PathBuf,
+        /// The program that is compared with.
+        #[arg(long)]
+        before: PathBuf,
+        /// The program that is compared.
+        #[arg(long)]
+        after: PathBuf,
+        /// Plays of each, on as many seeds.
+        #[arg(long, default_value_t = 3)]
+        plays: u32,
+        #[command(flatten)]
+        place: Place,
+    },
+}
+
+type Done = Result<ExitCode, Box<dyn Error>>;
+
+/// Plays the embedded experiment.
+pub fn demo(place: Place) -> Done {
+    runtime()?.block_on(one(Experiment::parse(DEMO)?, place))
+}
+
+/// Carries out one of the lab's commands.
+pub fn run(command: Lab) -> Done {
+    match command {
+        Lab::Check { file } => {
+            let experiment = read(&file)?;
+            let fleet = &experiment.fleet;
+            println!(
+                "{}: {} balancers, {} upstreams, {} faults in {:?}: it can be played",
+                experiment.name,
+                fleet.balancers,
+                fleet.upstreams,
+                experiment.faults.len(),
+                experiment.length
+            );
+            Ok(ExitCode::SUCCESS)
+        }
+        Lab::Run { file, place } => runtime()?.block_on(one(read(&file)?, place)),
+        Lab::Compare { file, before, after, plays, place } => {
+            runtime()?.block_on(compare(read(&file)?, [before, after], plays, place))
+        }
+    }
+}
+
+fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    // Two threads carry the stand-ins of a large fleet; the other cores are the balancers'.
+    tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()
+}
+
+fn read(file: &Path) -> Result<Experiment, Box<dyn Error>> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    Experiment::parse(&text).map_err(|e| format!("{}: {e}", file.display()).into())
+}
+
+fn balancer(place: &Place) -> std::io::Result<PathBuf> {
+    let beside = || Ok(std::env::current_exe()?.with_file_name(BALANCER));
+    place.balancer.clone().map_or_else(beside, Ok)
+}
+
+fn folder(place: &Place, name: &str) -> PathBuf {
+    let own = || std::env::temp_dir().join(format!("frostkeel-{name}-{}", std::process::id()));
+    place.out.clone().unwrap_or_else(own)
+}
+
+/// Becomes `true` at the first Ctrl-C.
+fn interrupted() -> watch::Receiver<bool> {
+    let (tell, told) = watch::channel(false);
+    tokio::spawn(async move {
+        if tokio::signal::ctrl_c().await.is_ok() {
+            tell.send_replace(true);
+        }
+        // Kept, so that who waits is not told of its end.
+        tell.closed().await;
+    });
+    told
+}
+
+async fn one(experiment: Experiment, place: Place) -> Done {
+    let dir = folder(&place, &experiment.name);
+    let options = Options {
+        balancer: balancer(&place)?,
+        guard: Some(std::env::current_exe()?),
+        seed: place.seed.unwrap_or(experiment.seed),
+        dir: dir.clone(),
+        stop: interrupted(),
+    };
+    let mut shown = Shown::new(&experiment);
+    let played = play(experiment, options, |progress| shown.show(&progress)).await?;
+    shown.end();
+    let page = report::write(&played, &dir)?;
+    table(&played);
+    println!("report: {}", page.display());
+    Ok(if played.is_good() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+async fn compare(experiment: Experiment, programs: [PathBuf; 2], plays: u32, place: Place) -> Done {
+    let (dir, stop) = (folder(&place, &experiment.name), interrupted());
+    let first = place.seed.unwrap_or(experiment.seed);
+    let mut served: [Vec<f64>; 2] = Default::default();
+    let mut sound = true;
+    for round in 0..u64::from(plays.max(1)) {
+        for (k, program) in programs.iter().enumerate() {
+            let options = Options {
+                balancer: program.clone(),
+                guard: Some(std::env::current_exe()?),
+                seed: first + round,
+                dir: dir.join(format!("{}-{round}", ["before", "after"][k])),
+                stop: stop.clone(),
+            };
+            let played = play(experiment.clone(), options, |_| ()).await?;
+            if *stop.borrow() {
+                return Err("interrupted: nothing is compared".into());
+            }
+            let (seed, f) = (first + round, &played.figures);
+            let name = ["before", "after"][k];
+            println!(
+                "{name:6} seed {seed}: served {:.3}, worst class {:.3}, p99 {:.0} ms, {} breaches{}",
+                f.served,
+                f.worst_class,
+                f.p99_ms,
+                played.broken.len(),
+                played.void.as_ref().map(|why| format!(", VOID: {why}")).unwrap_or_default()
+            );
+            sound &= played.void.is_none();
+            if played.void.is_none() {
+                served[k].push(f.served);
+            }
+        }
+    }
+    for (name, figures) in ["before", "after"].iter().zip(&mut served) {
+        figures.sort_by(f64::total_cmp);
+        match figures.as_slice() {
+            [] => println!("{name:6} no play counts"),
+            all => println!(
+                "{name:6} served: median {:.3}, worst {:.3}, best {:.3} of {} plays",
+                all[all.len() / 2],
+                all[0],
+                all[all.len() - 1],
+                all.len()
+            ),
+        }
+    }
+    Ok(if sound { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn table(played: &Played) {
+    let f = &played.figures;
+    println!("{:16} {:>7} {:>8} {:>6} {:>8} {:>7}", "class", "asked", "in time", "late", "refused", "failed");
+    for class in &f.classes {
+        let c = &class.counts;
+        println!(
+            "{:16} {:>7} {:>8} {:>6} {:>8} {:>7}",
+            class.class, c.asked, c.in_time, c.late, c.refused, c.failed
+        );
+    }
+    println!(
+        "served {:.1}% of the worth in time; answers {:.0} ms (median), {:.0} ms (99th percentile); \
+         {:.2} attempts a request",
+        f.served * 100.0,
+        f.p50_ms,
+        f.p99_ms,
+        f.attempts
+    );
+    let lab = &played.lab;
+    println!("the lab: {:.1} ms late (99th percentile), {:.2} cores", lab.late_p99_ms, lab.cores);
+    match &played.void {
+        Some(why) => println!("VOID: {why}"),
+        None if played.broken.is_empty() => println!("all rules kept"),
+        None => println!("{} BREACHES of the rules", played.broken.len()),
+    }
+    for broken in played.broken.iter().take(10) {
+        println!("  {:?}: {}", broken.rule, broken.text);
+    }
+    for missed in &played.missed {
+        println!("  missed: {missed}");
+    }
+}
+
+/// The line that tells how a play goes on: over itself on a terminal, else one every few seconds.
+struct Shown {
+    terminal: bool,
+    length: f64,
+    faults: Vec<f64>,
+}
+
+impl Shown {
+    fn new(experiment: &Experiment) -> Self {
+        println!("{}: starting {} balancers", experiment.name, experiment.fleet.balancers);
+        let faults = experiment.faults.iter().map(|f| f.at.as_secs_f64()).collect();
+        Self { terminal: std::io::stdout().is_terminal(), length: experiment.length.as_secs_f64(), faults }
+    }
+
+    fn show(&mut self, progress: &Progress) {
+        let at = progress.at.as_secs_f64();
+        if !self.terminal && at as u64 % 5 != 0 {
+            return;
+        }
+        let begun = self.faults.iter().filter(|f| **f <= at).count();
+        let (up, holds) = progress.upstreams;
+        let line = format!(
+            "{at:5.0} of {:.0} s  {} balancers  {up} upstreams hold {holds} requests  {begun} of {} faults begun",
+            self.length,
+            progress.balancers,
+            self.faults.len()
+        );
+        if self.terminal {
+            print!("\r{line}\x1b[K");
+            let _ = std::io::stdout().flush();
+        } else {
+            println!("{line}");
+        }
+    }
+
+    fn end(&self) {
+        if self.terminal {
+            println!();
+        }
+    }
+}
--- /dev/null
+++ b/frostkeel/tests/lab.rs
@@ -0,0 +1,86 @@
+//! The lab by its command line, with the real balancer as children.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+const FROSTKEEL: &str = env!("CARGO_BIN_EXE_frostkeel");
+
+fn frostkeel(arguments: &[&str]) -> Output {
+    Command::new(FROSTKEEL).args(arguments).output().expect("it starts")
+}
+
+fn folder(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+/// Guards the whole way: children start, are killed and come back, requests are answered, no rule is broken, and the
+/// report says so. How late a busy machine made the lab is no part of the verdict.
+#[test]
+fn a_short_play_with_faults_keeps_every_rule() {
+    let out = folder("short");
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../lab/experiments/balancer-short.toml");
+    let done = frostkeel(&["lab", "run", file, "--out", out.to_str().expect("a path")]);
+    let said = String::from_utf8_lossy(&done.stdout);
+    let result = std::fs::read_to_string(out.join("result.json")).expect(&said);
+    let result: serde_json::Value = serde_json::from_str(&result).expect("a result");
+    assert_eq!(result["broken"], serde_json::json!([]), "{said}");
+    let asked = result["figures"]["classes"].as_array().expect("classes");
+    let asked: u64 = asked.iter().filter_map(|class| class["asked"].as_u64()).sum();
+    assert!(asked > 150, "{asked} requests of some 240 drawn");
+    let events = std::fs::read_to_string(out.join("events.jsonl")).expect("events");
+    for (what, least) in
+        [("\"what\":\"fault\"", 3), ("\"became\":\"killed\"", 2), ("\"what\":\"arrived\"", 100)]
+    {
+        assert!(events.matches(what).count() >= least, "{what} in the events");
+    }
+    assert!(std::fs::read_to_string(out.join("report.html")).expect("a page").contains("<svg"));
+}
+
+#[test]
+fn what_cannot_be_meant_is_refused_with_file_line_and_reason() {
+    let file = folder("refused").join("wrong.toml");
+    let text = "name = \"x\"\nseconds = 5.0\n[fleet]\nbalancers = 0\nupstreams = 1\n";
+    std::fs::write(&file, text).expect("written");
+    let done = frostkeel(&["lab", "check", file.to_str().expect("a path")]);
+    let said = String::from_utf8_lossy(&done.stderr);
+    assert!(!done.status.success());
+    assert!(said.contains("wrong.toml: line 3: balancers is 0"), "{said}");
+}
+
+/// A lab that is killed outright must leave nobody behind.
+#[test]
+fn children_end_when_the_lab_is_killed() {
+    let out = folder("killed");
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../lab/experiments/balancer-short.toml");
+    let mut lab = Command::new(FROSTKEEL)
+        .args(["lab", "run", file, "--out", out.to_str().expect("a path")])
+        .stdout(std::process::Stdio::null())
+        .spawn()
+        .expect("it starts");
+    let config = out.join("b1.json");
+    let children = || -> Vec<PathBuf> {
+        let config = config.to_str().expect("a path");
+        let processes = std::fs::read_dir("/proc").expect("processes").filter_map(Result::ok);
+        let named = |path: &PathBuf| {
+            std::fs::read(path.join("environ")).is_ok_and(|e| String::from_utf8_lossy(&e).contains(config))
+        };
+        processes.map(|p| p.path()).filter(named).collect()
+    };
+    let until = |what: &str, holds: &dyn Fn() -> bool| {
+        let start = std::time::Instant::now();
+        while !holds() {
+            assert!(start.elapsed().as_secs() < 30, "in vain: {what}");
+            std::thread::sleep(std::time::Duration::from_millis(20));
+        }
+    };
+    until("a balancer serves", &|| {
+        std::fs::read_to_string(out.join("b1.log")).is_ok_and(|log| log.contains("listen="))
+    });
+    assert_eq!(children().len(), 1);
+    lab.kill().expect("killed");
+    lab.wait().expect("ended");
+    until("the balancer has ended", &|| children().is_empty());
+}
--- /dev/null
+++ b/lab/src/child.rs
@@ -0,0 +1,353 @@
+//! The balancers of a play: the real program, started, watched and ended as children.
+
+use crate::clients::Front;
+use crate::experiment::{Effect, Experiment};
+use crate::guard::Guard;
+use crate::history::{History, Process, What};
+use crate::play::LabError;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::sync::{oneshot, watch};
+use tokio::time::{sleep, timeout};
+
+/// How long one may take until it serves.
+const READY: Duration = Duration::from_secs(20);
+/// After SIGTERM new connections keep arriving for so long.
+const FRONT_AFTER_TERM: Duration = Duration::from_millis(300);
+/// SIGKILL follows SIGTERM after this: the longest deadline, counted as 3 s, and 0.7 s, with some slack.
+const KILL_AFTER_TERM: Duration = Duration::from_secs(5);
+/// How long one may take to be gone after SIGKILL.
+const GONE: Duration = Duration::from_secs(5);
+/// How often memory and processor time are looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+/// How one stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Life {
+    /// It does not run.
+    Off,
+    /// It runs.
+    On(Pid),
+}
+
+struct Slot {
+    life: watch::Sender<Life>,
+    /// The lab has ended it, or asked it to end.
+    ending: Mutex<bool>,
+    starts: Mutex<u64>,
+}
+
+/// What all children are started with.
+pub struct Balancers {
+    experiment: Arc<Experiment>,
+    seed: u64,
+    history: Arc<History>,
+    front: Arc<Front>,
+    guard: Option<Guard>,
+    program: PathBuf,
+    dir: PathBuf,
+    discovery: Vec<SocketAddr>,
+    /// The list as each knows it before its start.
+    known: Box<dyn Fn(u32) -> String + Send + Sync>,
+    slots: Vec<Slot>,
+    most_memory_kb: Mutex<u64>,
+}
+
+/// What a play is made of besides the balancers.
+pub struct Round {
+    /// What is played, and by which seed.
+    pub experiment: Arc<Experiment>,
+    /// See `experiment`.
+    pub seed: u64,
+    /// What happens is noted here.
+    pub history: Arc<History>,
+    /// Whom clients are dealt to.
+    pub front: Arc<Front>,
+}
+
+impl Balancers {
+    /// None started yet; logs and configurations go to `dir`.
+    pub fn new(
+        round: Round,
+        program: &Path,
+        guard: Option<Guard>,
+        dir: &Path,
+        discovery: Vec<SocketAddr>,
+        known: impl Fn(u32) -> String + Send + Sync + 'static,
+    ) -> Arc<Self> {
+        let Round { experiment, seed, history, front } = round;
+        let slot = |_| Slot {
+            life: watch::Sender::new(Life::Off),
+            ending: Mutex::default(),
+            starts: Mutex::default(),
+        };
+        Arc::new(Self {
+            slots: (0..experiment.fleet.balancers).map(slot).collect(),
+            experiment,
+            seed,
+            history,
+            front,
+            guard,
+            program: program.to_owned(),
+            dir: dir.to_owned(),
+            discovery,
+            known: Box::new(known),
+            most_memory_kb: Mutex::new(0),
+        })
+    }
+
+    fn became(&self, balancer: u32, became: Process) {
+        self.history.note(What::Balancer { balancer, became });
+    }
+
+    /// The most memory that any has taken, in KB, as far as was seen.
+    pub fn most_memory_kb(&self) -> u64 {
+        *self.most_memory_kb.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How many run.
+    pub fn running(&self) -> usize {
+        self.slots.iter().filter(|slot| *slot.life.borrow() != Life::Off).count()
+    }
+
+    /// Starts one and waits until it serves.
+    pub async fn start(self: &Arc<Self>, number: u32) -> Result<(), LabError> {
+        let slot = &self.slots[number as usize];
+        let starts = {
+            let mut starts = slot.starts.lock().unwrap_or_else(PoisonError::into_inner);
+            *starts += 1;
+            *starts
+        };
+        let config = self.dir.join(format!("b{number}.json"));
+        let text = self.config(number, starts).to_string();
+        let write = |path: &Path, e: std::io::Error| LabError::File { path: path.to_owned(), source: e };
+        tokio::fs::write(&config, text).await.map_err(|e| write(&config, e))?;
+        let log = self.dir.join(format!("b{number}.log"));
+        let file = tokio::fs::OpenOptions::new().create(true).append(true).open(&log).await;
+        let mut file = file.map_err(|e| write(&log, e))?;
+        let spawned = Command::new(&self.program)
+            .env("NODE_CONFIG", &config)
+            .env("NODE_NAME", format!("b{number}"))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn();
+        let mut child =
+            spawned.map_err(|source| LabError::Start { program: self.program.clone(), source })?;
+        let (tell, told) = oneshot::channel();
+        if let Some(stderr) = child.stderr.take() {
+            tokio::spawn(async move {
+                let (mut lines, mut tell) = (BufReader::new(stderr).lines(), Some(tell));
+                // A log that cannot be kept must still be read, or the child would stand still.
+                while let Ok(Some(line)) = lines.next_line().await {
+                    let address = line.split("listen=").nth(1).and_then(|rest| rest.split(' ').next());
+                    if let Some(address) = address.and_then(|a| a.parse::<SocketAddr>().ok())
+                        && let Some(tell) = tell.take()
+                    {
+                        let _ = tell.send(address);
+                    }
+                    let _ = file.write_all(format!("{line}\n").as_bytes()).await;
+                }
+                let _ = file.flush().await;
+            });
+        }
+        let Ok(Ok(address)) = timeout(READY, told).await else {
+            return Err(LabError::NotReady { number, log });
+        };
+        let pid = child.id().and_then(|pid| Pid::from_raw(pid as i32));
+        let Some(pid) = pid else { return Err(LabError::NotReady { number, log }) };
+        if let Some(guard) = &self.guard {
+            guard.started(pid.as_raw_nonzero().get() as u32);
+        }
+        *slot.ending.lock().unwrap_or_else(PoisonError::into_inner) = false;
+        slot.life.send_replace(Life::On(pid));
+        self.front.set(number, Some(address));
+        self.became(number, Process::Ready);
+        tokio::spawn(Arc::clone(self).watch(number, child, pid));
+        Ok(())
+    }
+
+    /// Waits for its end and says what it was; looks at its memory meanwhile.
+    async fn watch(self: Arc<Self>, number: u32, mut child: Child, pid: Pid) {
+        let slot = &self.slots[number as usize];
+        let most_kb = self.experiment.fleet.memory_mb * 1024;
+        let mut over = false;
+        loop {
+            tokio::select! {
+                _ = child.wait() => break,
+                () = sleep(LOOK_EVERY) => {
+                    let took = memory_kb(pid).await.unwrap_or(0);
+                    let mut most = self.most_memory_kb.lock().unwrap_or_else(PoisonError::into_inner);
+                    *most = took.max(*most);
+                    if took > most_kb && !std::mem::replace(&mut over, true) {
+                        self.became(number, Process::OverMemory);
+                    }
+                }
+            }
+        }
+        if let Some(guard) = &self.guard {
+            guard.ended(pid.as_raw_nonzero().get() as u32);
+        }
+        let meant = *slot.ending.lock().unwrap_or_else(PoisonError::into_inner);
+        self.became(number, if meant { Process::Ended } else { Process::Crashed });
+        slot.life.send_replace(Life::Off);
+        if !meant {
+            self.unlist_late(number);
+        }
+    }
+
+    /// The front goes on sending to a dead one for a while.
+    fn unlist_late(self: &Arc<Self>, number: u32) {
+        let (balancers, dead) = (Arc::clone(self), self.front.address(number));
+        tokio::spawn(async move {
+            sleep(Duration::from_secs_f64(balancers.experiment.load.notice_s)).await;
+            // Back meanwhile, it has another address.
+            if balancers.front.address(number) == dead {
+                balancers.front.set(number, None);
+            }
+        });
+    }
+
+    fn signal(&self, number: u32, signal: Signal) -> bool {
+        let life = *self.slots[number as usize].life.borrow();
+        matches!(life, Life::On(pid) if kill_process(pid, signal).is_ok())
+    }
+
+    fn ending(&self, number: u32) {
+        *self.slots[number as usize].ending.lock().unwrap_or_else(PoisonError::into_inner) = true;
+    }
+
+    async fn ended(&self, number: u32, within: Duration) -> bool {
+        let mut life = self.slots[number as usize].life.subscribe();
+        timeout(within, life.wait_for(|life| *life == Life::Off)).await.is_ok()
+    }
+
+    /// SIGKILL; started again after `back`.
+    pub async fn kill(self: Arc<Self>, number: u32, back: Option<Duration>) {
+        self.ending(number);
+        self.became(number, Process::Killed);
+        if !self.signal(number, Signal::KILL) {
+            return;
+        }
+        self.unlist_late(number);
+        if let Some(back) = back {
+            sleep(back).await;
+            self.again(number).await;
+        }
+    }
+
+    /// SIGTERM, and SIGKILL where it takes too long; started again once it has ended.
+    pub async fn replace(self: Arc<Self>, number: u32) {
+        if self.leave(number).await {
+            self.again(number).await;
+        }
+    }
+
+    /// SIGTERM, and SIGKILL where it takes too long; whether it has ended.
+    pub async fn leave(self: &Arc<Self>, number: u32) -> bool {
+        self.ending(number);
+        self.became(number, Process::Asked);
+        // A held process would only leave once it is let go on.
+        if !self.signal(number, Signal::TERM) || !self.signal(number, Signal::CONT) {
+            return true;
+        }
+        let (balancers, at) = (Arc::clone(self), self.front.address(number));
+        tokio::spawn(async move {
+            sleep(FRONT_AFTER_TERM).await;
+            if balancers.front.address(number) == at {
+                balancers.front.set(number, None);
+            }
+        });
+        if self.ended(number, KILL_AFTER_TERM).await {
+            return true;
+        }
+        self.became(number, Process::Killed);
+        self.signal(number, Signal::KILL);
+        let gone = self.ended(number, GONE).await;
+        if !gone {
+            self.became(number, Process::Outlived);
+        }
+        gone
+    }
+
+    /// SIGSTOP, and SIGCONT after so long.
+    pub async fn hold(self: Arc<Self>, number: u32, lasts: Duration) {
+        if self.signal(number, Signal::STOP) {
+            self.became(number, Process::Held);
+            sleep(lasts).await;
+            self.signal(number, Signal::CONT);
+            self.became(number, Process::Released);
+        }
+    }
+
+    async fn again(self: &Arc<Self>, number: u32) {
+        if self.ended(number, GONE).await
+            && let Err(e) = self.start(number).await
+        {
+            tracing::warn!("b{number} is not back: {e}");
+            self.became(number, Process::Crashed);
+        }
+    }
+
+    /// What a balancer is told, by the platform's form.
+    fn config(&self, number: u32, starts: u64) -> serde_json::Value {
+        let e = &self.experiment;
+        let seed = self.seed ^ (u64::from(number) << 24) ^ (starts << 48);
+        let seed: u64 = ChaCha8Rng::seed_from_u64(seed).random();
+        let classes = e.classes.iter().map(|class| {
+            let effect = match class.effect {
+                Effect::Safe => "idempotent",
+                Effect::Keyed => "deduplicated",
+                Effect::Unsafe => "at_most_once",
+            };
+            json!({"name": class.name, "aim_ms": class.aim_ms, "hard_limit_ms": class.deadline_ms,
+                "worth": class.worth, "effect": effect, "dedup_scope": "all", "key_ttl_ms": 12_000.0})
+        });
+        let classes: Vec<_> = classes.collect();
+        let m = &e.upstream;
+        let work: f64 = e.classes.iter().map(|c| c.share * c.work_ms / 1e3).sum();
+        let able = f64::from(e.fleet.upstreams * m.cores) * m.speed / work.max(1e-6);
+        let parties: Vec<_> = e
+            .tenants
+            .iter()
+            .map(|t| json!({"name": t.name, "allowance_per_s": 0.85 * able * t.share}))
+            .collect();
+        let known: serde_json::Value = serde_json::from_str(&(self.known)(number)).unwrap_or_default();
+        let discovery = self.discovery[number as usize].to_string();
+        json!({
+            "name": format!("b{number}"), "listen": "127.0.0.1:0", "discovery": discovery,
+            "seed": format!("{seed:016x}"),
+            "limits": {"cores": 1.0, "memory_mb": e.fleet.memory_mb, "sockets": 1024},
+            "known": known,
+            "settings": {
+                "balancers": e.fleet.balancers, "me": number, "classes": classes, "parties": parties,
+                "over_share_worth": 0.2, "discovery": "subscribe", "locality": 0,
+                "failure_domains": ["a"], "skus": ["m"], "weight_kind": "nominal",
+                "telemetry": {"how": "inline", "fields": ["util", "inflight"]},
+                "guarantees": {"ask_every_ms": 6000.0, "cold_from": m.cold_from, "cold_ms": m.cold_s * 1e3,
+                    "fall_multiple": m.fall_multiple, "overload_for_ms": m.fall_s * 1e3},
+                "limits": {"cancelling": true, "second_copies": true, "try_limit": 3, "max_streams": 1,
+                    "conn_idle_ms": m.idle_s * 1e3, "connect_timeout_ms": 250.0,
+                    "max_retry_after_ms": 2000.0, "may_probe": false},
+                "prices": {"connection": 0.03, "handshake": 0.03, "late_fail": 0.08, "waste": 0.02}
+            }
+        })
+    }
+}
+
+/// What a process takes of memory now, in KB; `None` once it is gone.
+async fn memory_kb(pid: Pid) -> Option<u64> {
+    let path = format!("/proc/{}/status", pid.as_raw_nonzero());
+    let text = tokio::fs::read_to_string(path).await.ok()?;
+    text.lines().find_map(|line| line.strip_prefix("VmRSS:")?.trim().strip_suffix("kB")?.trim().parse().ok())
+}
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,23 @@
+//! The lab: a fleet as real processes, with faults between them.
+//!
+//! One lab process holds what surrounds the balancers: clients, upstreams and the list service, as stand-ins that
+//! speak the published protocol on loopback addresses. The balancers are the real program, started as children. A
+//! play follows an [`Experiment`](experiment::Experiment), keeps the whole [`history`], judges it by the
+//! [`check`]s and writes a [`report`].
+//!
+//! Upstreams are modelled by a pure state machine, [`machine::Machine`]; the load and every draw come from one seed.
+
+pub mod check;
+mod child;
+mod clients;
+mod discovery;
+pub mod experiment;
+pub mod figures;
+pub mod guard;
+pub mod history;
+pub mod machine;
+mod play;
+pub mod report;
+mod upstream;
+
+pub use play::{LabError, LabItself, Options, Played, Progress, play};
--- /dev/null
+++ b/lab/src/play.rs
@@ -0,0 +1,399 @@
+//! One play of an experiment, from the first process to the last.
+
+use crate::check::{self, Broken};
+use crate::child::{Balancers, Round};
+use crate::clients::{Clients, Front, schedule};
+use crate::discovery::Discovery;
+use crate::experiment::{Act, Experiment, Fault, Target};
+use crate::figures::{self, Figures};
+use crate::guard::Guard;
+use crate::history::{Event, History, What};
+use crate::upstream::{Upstreams, pair_address};
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Balancers started at a time.
+const START_AT_ONCE: usize = 16;
+/// A play whose requests were sent later than this, at the 99th percentile, measured the lab, in ms.
+const LATE_MOST_MS: f64 = 20.0;
+/// Events that one play may have: some 100 bytes each are held in memory.
+const EVENTS_MOST: usize = 20_000_000;
+/// Descriptors that the lab takes besides those it counts.
+const DESCRIPTORS_BESIDES: u64 = 200;
+/// How often progress is told.
+const PROGRESS_EVERY: Duration = Duration::from_secs(1);
+
+/// Why there was no play.
+#[derive(Debug, Error)]
+pub enum LabError {
+    /// A file of the play.
+    #[error("{path}: {source}")]
+    File {
+        /// Which.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// No child.
+    #[error("{program} cannot be started: {source}; build it first: cargo build --release --locked")]
+    Start {
+        /// Which program.
+        program: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A child that does not serve.
+    #[error("balancer b{number} did not say that it serves: see {log}")]
+    NotReady {
+        /// Which.
+        number: u32,
+        /// Its log.
+        log: PathBuf,
+    },
+    /// Too few descriptors.
+    #[error(
+        "the play needs some {need} open files, {limit} are allowed: raise `ulimit -n` or play a smaller fleet"
+    )]
+    Descriptors {
+        /// How many it needs.
+        need: u64,
+        /// How many it may have.
+        limit: u64,
+    },
+    /// A stand-in has no address.
+    #[error("no address for a stand-in: {0}")]
+    Address(std::io::Error),
+}
+
+/// How a play is made.
+pub struct Options {
+    /// The balancers' program.
+    pub balancer: PathBuf,
+    /// The program that guards the children, with `guard` as its first argument.
+    pub guard: Option<PathBuf>,
+    /// In place of the experiment's own.
+    pub seed: u64,
+    /// Where logs and configurations go.
+    pub dir: PathBuf,
+    /// Set to `true`, it ends the play early.
+    pub stop: watch::Receiver<bool>,
+}
+
+/// How a running play stands.
+#[derive(Clone, Copy, Debug)]
+pub struct Progress {
+    /// Time since the load began.
+    pub at: Duration,
+    /// Balancers that run.
+    pub balancers: usize,
+    /// Upstreams that are up, and what they hold together.
+    pub upstreams: (usize, usize),
+}
+
+/// What the lab itself was like.
+#[derive(Clone, Debug, Serialize)]
+pub struct LabItself {
+    /// Percentiles and maximum of how late requests were sent, in ms.
+    pub late_p50_ms: f64,
+    /// See `late_p50_ms`.
+    pub late_p99_ms: f64,
+    /// See `late_p50_ms`.
+    pub late_max_ms: f64,
+    /// Share of one core that it took.
+    pub cores: f64,
+    /// Events not kept for want of room.
+    pub dropped: u64,
+}
+
+/// A play that has ended.
+#[derive(Serialize)]
+pub struct Played {
+    /// The experiment's name.
+    pub experiment: String,
+    /// The seed.
+    pub seed: u64,
+    /// The balancers' program.
+    pub balancer: PathBuf,
+    /// Seconds of load that were played.
+    pub seconds: f64,
+    /// It was ended before its time.
+    pub cut_short: bool,
+    /// Why it counts for nothing, where it does.
+    pub void: Option<String>,
+    /// The rules that were broken.
+    pub broken: Vec<Broken>,
+    /// What of the expectations was missed.
+    pub missed: Vec<String>,
+    /// The figures.
+    pub figures: Figures,
+    /// The most memory that any balancer took, in MB.
+    pub memory_mb: f64,
+    /// The lab.
+    pub lab: LabItself,
+    /// The whole history.
+    #[serde(skip)]
+    pub events: Vec<Event>,
+}
+
+impl Played {
+    /// Whether it counts, and all rules and expectations were kept.
+    pub fn is_good(&self) -> bool {
+        self.void.is_none() && self.broken.is_empty() && self.missed.is_empty()
+    }
+}
+
+/// Plays an experiment; `progress` is told of it every second.
+pub async fn play(
+    experiment: Experiment,
+    options: Options,
+    mut progress: impl FnMut(Progress),
+) -> Result<Played, LabError> {
+    descriptors(&experiment)?;
+    let file = |path: &Path, source| LabError::File { path: path.to_owned(), source };
+    tokio::fs::create_dir_all(&options.dir).await.map_err(|e| file(&options.dir, e))?;
+    let experiment = Arc::new(experiment);
+    let history = Arc::new(History::new(EVENTS_MOST));
+    let discovery = Discovery::new(Arc::clone(&history));
+    let upstreams =
+        Upstreams::new(Arc::clone(&experiment), options.seed, Arc::clone(&history), Arc::clone(&discovery));
+    let mut tasks = JoinSet::new();
+    let mut addresses = Vec::new();
+    for balancer in 0..experiment.fleet.balancers {
+        let listener =
+            TcpListener::bind((pair_address(balancer, 249), 0)).await.map_err(LabError::Address)?;
+        addresses.push(listener.local_addr().map_err(LabError::Address)?);
+        tasks.spawn(Arc::clone(&discovery).serve(balancer, listener));
+    }
+    for _ in 0..experiment.fleet.upstreams {
+        upstreams.add(false).await.map_err(LabError::Address)?;
+    }
+    let guard = options.guard.as_deref().map(Guard::start).transpose();
+    let guard = guard
+        .map_err(|source| LabError::Start { program: options.guard.clone().unwrap_or_default(), source })?;
+    let front = Arc::new(Front::new(experiment.fleet.balancers));
+    let known = Arc::clone(&discovery);
+    let round = Round {
+        experiment: Arc::clone(&experiment),
+        seed: options.seed,
+        history: Arc::clone(&history),
+        front: Arc::clone(&front),
+    };
+    let balancers =
+        Balancers::new(round, &options.balancer, guard, &options.dir, addresses, move |balancer| {
+            known.text(balancer, None).1
+        });
+    start_all(&balancers, experiment.fleet.balancers).await?;
+
+    let clients = Clients::new(Arc::clone(&experiment), Arc::clone(&history), front);
+    let arrivals = schedule(&experiment, options.seed);
+    let processor = processor_seconds();
+    history.begin();
+    tasks.spawn(Arc::clone(&upstreams).watch_load());
+    tasks.spawn(faults(
+        Arc::clone(&experiment),
+        options.seed,
+        Arc::clone(&history),
+        Arc::clone(&balancers),
+        Arc::clone(&upstreams),
+        Arc::clone(&discovery),
+    ));
+    let mut stop = options.stop.clone();
+    let load = Arc::clone(&clients).run(arrivals);
+    tokio::pin!(load);
+    let mut next = Instant::now() + PROGRESS_EVERY;
+    let cut_short = loop {
+        tokio::select! {
+            () = &mut load => break false,
+            _ = stop.wait_for(|stop| *stop) => break true,
+            () = sleep_until(next) => {
+                next += PROGRESS_EVERY;
+                let upstreams = upstreams.standing();
+                progress(Progress { at: history.now(), balancers: balancers.running(), upstreams });
+            }
+        }
+    };
+    let seconds = history.now().min(experiment.length).as_secs_f64();
+    let (elapsed, spent) = (history.now().as_secs_f64(), processor_seconds() - processor);
+    tasks.abort_all();
+    end_all(&balancers, experiment.fleet.balancers).await;
+
+    let (events, dropped) = history.take();
+    let late = clients.lateness();
+    let lab = LabItself {
+        late_p50_ms: figures::ms(&late, 0.5),
+        late_p99_ms: figures::ms(&late, 0.99),
+        late_max_ms: late.max() as f64 / 1e3,
+        cores: spent / elapsed.max(1e-9),
+        dropped,
+    };
+    let figures = figures::figures(&experiment, &events);
+    let void = if lab.late_p99_ms > LATE_MOST_MS {
+        Some(format!("the lab was late: p99 {:.1} ms of {LATE_MOST_MS} allowed", lab.late_p99_ms))
+    } else {
+        (dropped > 0).then(|| format!("{dropped} events were not kept"))
+    };
+    let mut missed = Vec::new();
+    if figures.served < experiment.expect.served {
+        missed.push(format!("served {:.3} of {:.3} expected", figures.served, experiment.expect.served));
+    }
+    Ok(Played {
+        experiment: experiment.name.clone(),
+        seed: options.seed,
+        balancer: options.balancer,
+        seconds,
+        cut_short,
+        void,
+        broken: check::broken(&experiment, &events),
+        missed,
+        figures,
+        memory_mb: balancers.most_memory_kb() as f64 / 1024.0,
+        lab,
+        events,
+    })
+}
+
+async fn start_all(balancers: &Arc<Balancers>, count: u32) -> Result<(), LabError> {
+    let mut starting = JoinSet::new();
+    for number in 0..count {
+        if starting.len() >= START_AT_ONCE
+            && let Some(Ok(started)) = starting.join_next().await
+        {
+            started?;
+        }
+        let balancers = Arc::clone(balancers);
+        starting.spawn(async move { balancers.start(number).await });
+    }
+    while let Some(started) = starting.join_next().await {
+        if let Ok(started) = started {
+            started?;
+        }
+    }
+    Ok(())
+}
+
+async fn end_all(balancers: &Arc<Balancers>, count: u32) {
+    let mut leaving = JoinSet::new();
+    for number in 0..count {
+        let balancers = Arc::clone(balancers);
+        leaving.spawn(async move { balancers.leave(number).await });
+    }
+    while leaving.join_next().await.is_some() {}
+}
+
+/// Plays the faults of an experiment when they are due.
+async fn faults(
+    experiment: Arc<Experiment>,
+    seed: u64,
+    history: Arc<History>,
+    balancers: Arc<Balancers>,
+    upstreams: Arc<Upstreams>,
+    discovery: Arc<Discovery>,
+) {
+    let mut running = JoinSet::new();
+    for (k, fault) in experiment.faults.iter().enumerate() {
+        sleep_until(history.at(fault.at.as_secs_f64())).await;
+        history.note(What::Fault { text: words(fault) });
+        let mut draw = ChaCha8Rng::seed_from_u64(seed ^ (k as u64 + 1) << 40);
+        let mut some = |share: f64, of: u32| {
+            let mut all: Vec<u32> = (0..of).collect();
+            all.shuffle(&mut draw);
+            all.truncate((share * f64::from(of)).round() as usize);
+            all
+        };
+        let (on_balancers, on_upstreams) = match fault.target {
+            Target::Balancer(n) => (vec![n], vec![]),
+            Target::Balancers(share) => (some(share, experiment.fleet.balancers), vec![]),
+            Target::Upstream(n) => (vec![], vec![n]),
+            Target::Upstreams(share) => (vec![], some(share, experiment.fleet.upstreams)),
+            Target::Discovery => {
+                if let Act::Kill { back } = fault.act {
+                    let discovery = Arc::clone(&discovery);
+                    running.spawn(async move {
+                        discovery.set_up(false);
+                        if let Some(back) = back {
+                            sleep(back).await;
+                            discovery.set_up(true);
+                        }
+                    });
+                }
+                continue;
+            }
+        };
+        for number in on_balancers {
+            let balancers = Arc::clone(&balancers);
+            match fault.act {
+                Act::Kill { back } => running.spawn(balancers.kill(number, back)),
+                Act::Term => running.spawn(balancers.replace(number)),
+                Act::Stop(lasts) => running.spawn(balancers.hold(number, lasts)),
+                Act::Slow(..) | Act::Silent(_) | Act::Replace { .. } => continue,
+            };
+        }
+        for (rank, number) in (0u32..).zip(on_upstreams) {
+            let upstreams = Arc::clone(&upstreams);
+            match fault.act {
+                Act::Kill { back } => running.spawn(upstreams.crash(number, back)),
+                Act::Slow(factor, lasts) => running.spawn(upstreams.slow(number, factor, lasts)),
+                Act::Silent(lasts) => running.spawn(upstreams.silence(number, lasts)),
+                Act::Replace { batch, every, drain } => running.spawn(async move {
+                    sleep(every * (rank / batch)).await;
+                    upstreams.replace(number, drain).await;
+                }),
+                Act::Term | Act::Stop(_) => continue,
+            };
+        }
+    }
+    while running.join_next().await.is_some() {}
+}
+
+fn words(fault: &Fault) -> String {
+    let whom = match &fault.target {
+        Target::Balancer(n) => format!("b{n}"),
+        Target::Upstream(n) => format!("u{n}"),
+        Target::Balancers(share) => format!("{:.0}% of balancers", share * 100.0),
+        Target::Upstreams(share) => format!("{:.0}% of upstreams", share * 100.0),
+        Target::Discovery => "discovery".into(),
+    };
+    let what = match &fault.act {
+        Act::Kill { back: None } => "killed".into(),
+        Act::Kill { back: Some(back) } => format!("killed, back after {back:?}"),
+        Act::Term => "asked to leave, started again".into(),
+        Act::Stop(lasts) => format!("stopped for {lasts:?}"),
+        Act::Slow(factor, lasts) => format!("{factor} times slower for {lasts:?}"),
+        Act::Silent(lasts) => format!("silent for {lasts:?}"),
+        Act::Replace { batch, every, .. } => format!("replaced, {batch} every {every:?}"),
+    };
+    format!("{whom}: {what}")
+}
+
+/// Whether so many files may be open.
+fn descriptors(experiment: &Experiment) -> Result<(), LabError> {
+    let replaced = experiment.faults.iter().any(|f| matches!(f.act, Act::Replace { .. }));
+    let pairs = u64::from(experiment.fleet.balancers) * u64::from(experiment.fleet.upstreams);
+    // A listener and some connections for each pair, the clients' connections, pipes and logs.
+    let clients = (experiment.load.rate * 2.0) as u64;
+    let need = pairs * if replaced { 4 } else { 3 }
+        + clients
+        + 4 * u64::from(experiment.fleet.balancers)
+        + DESCRIPTORS_BESIDES;
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current.unwrap_or(u64::MAX);
+    if need > limit { Err(LabError::Descriptors { need, limit }) } else { Ok(()) }
+}
+
+/// Processor time that this process has taken, in seconds.
+fn processor_seconds() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    // After the name, which may hold anything: user and system time are the 12th and 13th, in 1/100 s.
+    let rest = text.rsplit(')').next().unwrap_or_default();
+    let ticks: u64 = rest.split_whitespace().skip(11).take(2).filter_map(|n| n.parse::<u64>().ok()).sum();
+    ticks as f64 / 100.0
+}
