Add links to the lab: delay, bandwidth, cuts one way or both, resets

Without links an upstream can only die or fall silent for everybody at once.

Each connection between a balancer and an upstream or the list service passes through the link kept for that pair (lab/src/link.rs); experiments cut, delay and reset them. What a cut or a reset meets is settled when a connection is accepted: settled when its task first ran, a reset in between was missed, and a test of it hung. Requests are dealt by a thread of their own, and how late they are is measured where they are sent. A listener and one connection for each pair are counted as needed descriptors, not three.

--- a/frostkeel/src/lab.rs
+++ b/frostkeel/src/lab.rs
@@ -91,8 +91,8 @@
 }
 
 fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
-    // Two threads carry the stand-ins of a large fleet; the other cores are the balancers'.
-    tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()
+    // Four threads: beside a hundred balancers the stand-ins must not wait for a core.
+    tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()
 }
 
 fn read(file: &Path) -> Result<Experiment, Box<dyn Error>> {
--- a/lab/src/clients.rs
+++ b/lab/src/clients.rs
@@ -17,6 +17,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
@@ -24,6 +25,8 @@
 pub const TRIES_BITS: u32 = 3;
 /// The shortest time in which a further try makes sense.
 const LEFT_LEAST: Duration = Duration::from_millis(50);
+/// Requests that are due and not yet taken up: more mean a lab that is late.
+const DEALT_MOST: usize = 1024;
 /// How long a connection to a balancer may take.
 const CONNECT: Duration = Duration::from_secs(1);
 
@@ -174,13 +177,21 @@
 
     /// Sends what is due when it is due; returns when the last client has ended. Dropped, all end.
     pub async fn run(self: Arc<Self>, arrivals: Vec<Arrival>) {
+        let (dealt, mut due) = mpsc::channel(DEALT_MOST);
+        let start = self.history.at(0.0).into_std();
+        // A thread of its own: the runtime's timers are right to a millisecond or two only.
+        tokio::task::spawn_blocking(move || {
+            for (request, arrival) in arrivals.into_iter().enumerate() {
+                let at = start + Duration::from_secs_f64(arrival.at);
+                std::thread::sleep(at.saturating_duration_since(std::time::Instant::now()));
+                if dealt.blocking_send((request as u32, arrival, at)).is_err() {
+                    return;
+                }
+            }
+        });
         let mut open = JoinSet::new();
-        for (request, arrival) in arrivals.into_iter().enumerate() {
-            let due = self.history.at(arrival.at);
-            sleep_until(due).await;
-            let late = Instant::now().saturating_duration_since(due).as_micros() as u64;
-            self.late.lock().unwrap_or_else(PoisonError::into_inner).saturating_record(late.max(1));
-            open.spawn(Arc::clone(&self).client(request as u32, arrival, due));
+        while let Some((request, arrival, at)) = due.recv().await {
+            open.spawn(Arc::clone(&self).client(request, arrival, Instant::from_std(at)));
             while open.try_join_next().is_some() {}
         }
         while open.join_next().await.is_some() {}
@@ -192,6 +203,8 @@
         else {
             return;
         };
+        let late = Instant::now().saturating_duration_since(due).as_micros() as u64;
+        self.late.lock().unwrap_or_else(PoisonError::into_inner).saturating_record(late.max(1));
         let deadline = due + Duration::from_secs_f64(class.deadline_ms / 1e3);
         let most = Duration::from_secs_f64(class.deadline_ms / 1e3 * load.try_share);
         let mut chance = ChaCha8Rng::seed_from_u64(arrival.chance);
--- a/lab/src/discovery.rs
+++ b/lab/src/discovery.rs
@@ -2,6 +2,7 @@
 //! of its own.
 
 use crate::history::{History, Listed, What};
+use crate::link::{Links, Other};
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -36,6 +37,7 @@
 /// The list, and who watches it.
 pub struct Discovery {
     history: Arc<History>,
+    links: Arc<Links>,
     entries: Mutex<BTreeMap<u32, Entry>>,
     rev: watch::Sender<u64>,
     up: watch::Sender<bool>,
@@ -43,9 +45,9 @@
 
 impl Discovery {
     /// An empty list.
-    pub fn new(history: Arc<History>) -> Arc<Self> {
+    pub fn new(history: Arc<History>, links: Arc<Links>) -> Arc<Self> {
         let (rev, up) = (watch::Sender::new(1), watch::Sender::new(true));
-        Arc::new(Self { history, entries: Mutex::default(), rev, up })
+        Arc::new(Self { history, links, entries: Mutex::default(), rev, up })
     }
 
     /// How an upstream stands from now on.
@@ -100,10 +102,12 @@
 
     /// Serves one balancer at its address for as long as the play lasts.
     pub async fn serve(self: Arc<Self>, balancer: u32, listener: TcpListener) {
+        let link = self.links.between(balancer, Other::Discovery);
         while let Ok((stream, _)) = listener.accept().await {
             if !*self.up.borrow() {
                 continue;
             }
+            let stream = link.through(stream);
             let (discovery, mut up) = (Arc::clone(&self), self.up.subscribe());
             tokio::spawn(async move {
                 let service = service_fn(move |request| {
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -247,6 +247,19 @@
     pub served: f64,
 }
 
+/// What happens to what travels one way on a link.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Way {
+    /// It takes this much longer ...
+    pub delay: Duration,
+    /// ... and up to this much more, drawn for each piece; order is kept.
+    pub jitter: Duration,
+    /// Bytes a second that pass; `None`: as many as come.
+    pub bytes_per_s: Option<u32>,
+    /// Nothing passes: it waits until the way is open again.
+    pub cut: bool,
+}
+
 /// Whom a fault meets.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Target {
@@ -271,6 +284,8 @@
     pub target: Target,
     /// What happens.
     pub act: Act,
+    /// For faults of links, whom the other ends belong to; `None`: all that `target` has links with.
+    pub with: Option<Target>,
 }
 
 /// What goes wrong.
@@ -298,6 +313,10 @@
         /// Time to drain.
         drain: Duration,
     },
+    /// Links turn so: from the balancer, and back to it; for so long.
+    Links([Way; 2], Duration),
+    /// All connections on links end at once.
+    Reset,
 }
 
 #[derive(Deserialize)]
@@ -341,6 +360,18 @@
     Slow,
     Silent,
     Replace,
+    Cut,
+    Delay,
+    Reset,
+}
+
+#[derive(Clone, Copy, Default, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum Direction {
+    #[default]
+    Both,
+    To,
+    Back,
 }
 
 #[derive(Deserialize)]
@@ -354,6 +385,11 @@
     batch: Option<u32>,
     every_s: Option<f64>,
     drain_s: Option<f64>,
+    with: Option<String>,
+    way: Option<Direction>,
+    delay_ms: Option<f64>,
+    jitter_ms: Option<f64>,
+    bytes_per_s: Option<u32>,
 }
 
 /// The classes of the site that the balancer was built for, where a file names none.
@@ -462,7 +498,27 @@
         Some(x) => Err(format!("{what} is {x}: 0 to 3600 can be played")),
     };
     let for_s = || span("for_s", raw.for_s);
+    let ways = |way: Way| match raw.way.unwrap_or_default() {
+        Direction::Both => [way, way],
+        Direction::To => [way, Way::default()],
+        Direction::Back => [Way::default(), way],
+    };
+    let millis = |what: &str, value: Option<f64>| match value {
+        None => Ok(Duration::ZERO),
+        Some(x) if (0.0..=60_000.0).contains(&x) => Ok(Duration::from_secs_f64(x / 1e3)),
+        Some(x) => Err(format!("{what} is {x}: 0 to 60000 can be played")),
+    };
     let act = match raw.kind {
+        Kind::Cut => Act::Links(ways(Way { cut: true, ..Way::default() }), for_s()?),
+        Kind::Delay => {
+            let (delay, jitter) = (millis("delay_ms", raw.delay_ms)?, millis("jitter_ms", raw.jitter_ms)?);
+            let way = Way { delay, jitter, bytes_per_s: raw.bytes_per_s, cut: false };
+            if way == Way::default() || way.bytes_per_s == Some(0) {
+                return Err("delay_ms, jitter_ms or bytes_per_s is missing: what slows the link?".into());
+            }
+            Act::Links(ways(way), for_s()?)
+        }
+        Kind::Reset => Act::Reset,
         Kind::Kill => Act::Kill { back: raw.for_s.map(|_| for_s()).transpose()? },
         Kind::Term => Act::Term,
         Kind::Stop => Act::Stop(for_s()?),
@@ -483,10 +539,11 @@
     let of_balancers = matches!(target, Target::Balancer(_) | Target::Balancers(_));
     let of_upstreams = matches!(target, Target::Upstream(_) | Target::Upstreams(_));
     let meant = match act {
-        Act::Kill { .. } => true,
+        Act::Kill { .. } | Act::Links(..) | Act::Reset => true,
         Act::Term | Act::Stop(_) => of_balancers,
         Act::Slow(..) | Act::Silent(_) | Act::Replace { .. } => of_upstreams,
     };
+    let of_links = matches!(act, Act::Links(..) | Act::Reset);
     if !meant {
         return Err(format!("this kind of fault cannot meet {:?}", raw.target));
     }
@@ -495,13 +552,27 @@
         (raw.batch.is_some(), "batch", matches!(act, Act::Replace { .. })),
         (raw.every_s.is_some(), "every_s", matches!(act, Act::Replace { .. })),
         (raw.drain_s.is_some(), "drain_s", matches!(act, Act::Replace { .. })),
-        (raw.for_s.is_some(), "for_s", !matches!(act, Act::Replace { .. } | Act::Term)),
+        (raw.for_s.is_some(), "for_s", !matches!(act, Act::Replace { .. } | Act::Term | Act::Reset)),
+        (raw.with.is_some(), "with", of_links),
+        (raw.way.is_some(), "way", matches!(act, Act::Links(..))),
+        (raw.delay_ms.is_some(), "delay_ms", raw.kind == Kind::Delay),
+        (raw.jitter_ms.is_some(), "jitter_ms", raw.kind == Kind::Delay),
+        (raw.bytes_per_s.is_some(), "bytes_per_s", raw.kind == Kind::Delay),
     ] {
         if given && !goes_with {
             return Err(format!("{what} says nothing to this kind of fault"));
         }
     }
-    Ok(Fault { at: Duration::from_secs_f64(raw.at_s), target, act })
+    let with = raw.with.as_deref().map(|text| read_target(text, fleet)).transpose()?;
+    if let Some(other) = &with
+        && matches!(other, Target::Balancer(_) | Target::Balancers(_)) == of_balancers
+    {
+        return Err(format!(
+            "with {:?}: links go between balancers and the others",
+            raw.with.unwrap_or_default()
+        ));
+    }
+    Ok(Fault { at: Duration::from_secs_f64(raw.at_s), target, act, with })
 }
 
 /// `b3`, `u0`, `discovery`, `all balancers`, `30% of upstreams`.
@@ -567,6 +638,8 @@
             ("kind = \"kill\"", "kind = \"stop\"", 6, "cannot meet"),
             ("kind = \"kill\"", "kind = \"slow\"", 6, "factor is missing"),
             ("for_s = 2", "for_s = 2\nbatch = 1", 6, "says nothing"),
+            ("kind = \"kill\"", "kind = \"cut\"\nwith = \"u2\"", 6, "between balancers"),
+            ("kind = \"kill\"", "kind = \"delay\"", 6, "what slows"),
             ("name = \"x\"", "", 1, "name"),
         ] {
             let refused = Experiment::parse(&GOOD.replace(from, to)).expect_err(to);
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod figures;
 pub mod guard;
 pub mod history;
+mod link;
 pub mod machine;
 mod play;
 pub mod report;
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -4,10 +4,11 @@
 use crate::child::{Balancers, Round};
 use crate::clients::{Clients, Front, schedule};
 use crate::discovery::Discovery;
-use crate::experiment::{Act, Experiment, Fault, Target};
+use crate::experiment::{Act, Experiment, Fault, Target, Way};
 use crate::figures::{self, Figures};
 use crate::guard::Guard;
 use crate::history::{Event, History, What};
+use crate::link::{Link, Links, Other};
 use crate::upstream::{Upstreams, pair_address};
 use rand::SeedableRng;
 use rand::seq::SliceRandom;
@@ -163,9 +164,15 @@
     tokio::fs::create_dir_all(&options.dir).await.map_err(|e| file(&options.dir, e))?;
     let experiment = Arc::new(experiment);
     let history = Arc::new(History::new(EVENTS_MOST));
-    let discovery = Discovery::new(Arc::clone(&history));
-    let upstreams =
-        Upstreams::new(Arc::clone(&experiment), options.seed, Arc::clone(&history), Arc::clone(&discovery));
+    let links = Links::new(options.seed);
+    let discovery = Discovery::new(Arc::clone(&history), Arc::clone(&links));
+    let upstreams = Upstreams::new(
+        Arc::clone(&experiment),
+        options.seed,
+        Arc::clone(&history),
+        Arc::clone(&discovery),
+        Arc::clone(&links),
+    );
     let mut tasks = JoinSet::new();
     let mut addresses = Vec::new();
     for balancer in 0..experiment.fleet.balancers {
@@ -199,14 +206,15 @@
     let processor = processor_seconds();
     history.begin();
     tasks.spawn(Arc::clone(&upstreams).watch_load());
-    tasks.spawn(faults(
-        Arc::clone(&experiment),
-        options.seed,
-        Arc::clone(&history),
-        Arc::clone(&balancers),
-        Arc::clone(&upstreams),
-        Arc::clone(&discovery),
-    ));
+    let stage = Stage {
+        experiment: Arc::clone(&experiment),
+        history: Arc::clone(&history),
+        balancers: Arc::clone(&balancers),
+        upstreams: Arc::clone(&upstreams),
+        discovery,
+        links,
+    };
+    tasks.spawn(stage.faults(options.seed));
     let mut stop = options.stop.clone();
     let load = Arc::clone(&clients).run(arrivals);
     tokio::pin!(load);
@@ -290,57 +298,114 @@
     while leaving.join_next().await.is_some() {}
 }
 
-/// Plays the faults of an experiment when they are due.
-async fn faults(
+/// What faults can meet.
+struct Stage {
     experiment: Arc<Experiment>,
-    seed: u64,
     history: Arc<History>,
     balancers: Arc<Balancers>,
     upstreams: Arc<Upstreams>,
     discovery: Arc<Discovery>,
-) {
-    let mut running = JoinSet::new();
-    for (k, fault) in experiment.faults.iter().enumerate() {
-        sleep_until(history.at(fault.at.as_secs_f64())).await;
-        history.note(What::Fault { text: words(fault) });
-        let mut draw = ChaCha8Rng::seed_from_u64(seed ^ (k as u64 + 1) << 40);
+    links: Arc<Links>,
+}
+
+/// Who a target is, by number.
+#[derive(Default)]
+struct Met {
+    balancers: Vec<u32>,
+    upstreams: Vec<u32>,
+    discovery: bool,
+}
+
+impl Stage {
+    /// Plays the faults of the experiment when they are due.
+    async fn faults(self, seed: u64) {
+        let mut running = JoinSet::new();
+        for (k, fault) in (0u64..).zip(&self.experiment.faults) {
+            sleep_until(self.history.at(fault.at.as_secs_f64())).await;
+            self.history.note(What::Fault { text: words(fault) });
+            let mut draw = ChaCha8Rng::seed_from_u64(seed ^ (k + 1) << 40);
+            let met = self.met(&fault.target, &mut draw);
+            match &fault.act {
+                Act::Links(ways, lasts) => {
+                    let links = self.between(met, fault.with.as_ref(), &mut draw);
+                    let (ways, lasts) = (*ways, *lasts);
+                    links.iter().for_each(|link| link.set(ways));
+                    running.spawn(async move {
+                        sleep(lasts).await;
+                        links.iter().for_each(|link| link.set(Default::default()));
+                    });
+                }
+                Act::Reset => {
+                    self.between(met, fault.with.as_ref(), &mut draw).iter().for_each(|link| link.reset());
+                }
+                act => self.strike(act, met, &mut running),
+            }
+        }
+        while running.join_next().await.is_some() {}
+    }
+
+    fn met(&self, target: &Target, draw: &mut ChaCha8Rng) -> Met {
         let mut some = |share: f64, of: u32| {
             let mut all: Vec<u32> = (0..of).collect();
-            all.shuffle(&mut draw);
+            all.shuffle(draw);
             all.truncate((share * f64::from(of)).round() as usize);
             all
         };
-        let (on_balancers, on_upstreams) = match fault.target {
-            Target::Balancer(n) => (vec![n], vec![]),
-            Target::Balancers(share) => (some(share, experiment.fleet.balancers), vec![]),
-            Target::Upstream(n) => (vec![], vec![n]),
-            Target::Upstreams(share) => (vec![], some(share, experiment.fleet.upstreams)),
-            Target::Discovery => {
-                if let Act::Kill { back } = fault.act {
-                    let discovery = Arc::clone(&discovery);
-                    running.spawn(async move {
-                        discovery.set_up(false);
-                        if let Some(back) = back {
-                            sleep(back).await;
-                            discovery.set_up(true);
-                        }
-                    });
-                }
-                continue;
+        let fleet = &self.experiment.fleet;
+        match target {
+            Target::Balancer(n) => Met { balancers: vec![*n], ..Met::default() },
+            Target::Upstream(n) => Met { upstreams: vec![*n], ..Met::default() },
+            Target::Balancers(share) => Met { balancers: some(*share, fleet.balancers), ..Met::default() },
+            Target::Upstreams(share) => Met { upstreams: some(*share, fleet.upstreams), ..Met::default() },
+            Target::Discovery => Met { discovery: true, ..Met::default() },
+        }
+    }
+
+    /// The links between whom a fault meets and those of `with`, or all others.
+    fn between(&self, mut met: Met, with: Option<&Target>, draw: &mut ChaCha8Rng) -> Vec<Arc<Link>> {
+        match with {
+            Some(with) => {
+                let other = self.met(with, draw);
+                met.balancers.extend(other.balancers);
+                met.upstreams.extend(other.upstreams);
+                met.discovery |= other.discovery;
             }
-        };
-        for number in on_balancers {
-            let balancers = Arc::clone(&balancers);
-            match fault.act {
-                Act::Kill { back } => running.spawn(balancers.kill(number, back)),
+            None if met.balancers.is_empty() => met.balancers.extend(0..self.experiment.fleet.balancers),
+            None => {
+                met.upstreams.extend(0..self.upstreams.count());
+                met.discovery = true;
+            }
+        }
+        let others = met.upstreams.iter().map(|n| Other::Upstream(*n));
+        let others: Vec<Other> = others.chain(met.discovery.then_some(Other::Discovery)).collect();
+        let pairs = met.balancers.iter().flat_map(|b| others.iter().map(|other| (*b, *other)));
+        pairs.map(|(balancer, other)| self.links.between(balancer, other)).collect()
+    }
+
+    /// What happens to processes and stand-ins themselves.
+    fn strike(&self, act: &Act, met: Met, running: &mut JoinSet<()>) {
+        if let (true, Act::Kill { back }) = (met.discovery, act) {
+            let (discovery, back) = (Arc::clone(&self.discovery), *back);
+            running.spawn(async move {
+                discovery.set_up(false);
+                if let Some(back) = back {
+                    sleep(back).await;
+                    discovery.set_up(true);
+                }
+            });
+        }
+        for number in met.balancers {
+            let balancers = Arc::clone(&self.balancers);
+            match act {
+                Act::Kill { back } => running.spawn(balancers.kill(number, *back)),
                 Act::Term => running.spawn(balancers.replace(number)),
-                Act::Stop(lasts) => running.spawn(balancers.hold(number, lasts)),
-                Act::Slow(..) | Act::Silent(_) | Act::Replace { .. } => continue,
+                Act::Stop(lasts) => running.spawn(balancers.hold(number, *lasts)),
+                _ => continue,
             };
         }
-        for (rank, number) in (0u32..).zip(on_upstreams) {
-            let upstreams = Arc::clone(&upstreams);
-            match fault.act {
+        for (rank, number) in (0u32..).zip(met.upstreams) {
+            let upstreams = Arc::clone(&self.upstreams);
+            match *act {
                 Act::Kill { back } => running.spawn(upstreams.crash(number, back)),
                 Act::Slow(factor, lasts) => running.spawn(upstreams.slow(number, factor, lasts)),
                 Act::Silent(lasts) => running.spawn(upstreams.silence(number, lasts)),
@@ -348,11 +413,10 @@
                     sleep(every * (rank / batch)).await;
                     upstreams.replace(number, drain).await;
                 }),
-                Act::Term | Act::Stop(_) => continue,
+                _ => continue,
             };
         }
     }
-    while running.join_next().await.is_some() {}
 }
 
 fn words(fault: &Fault) -> String {
@@ -371,6 +435,15 @@
         Act::Slow(factor, lasts) => format!("{factor} times slower for {lasts:?}"),
         Act::Silent(lasts) => format!("silent for {lasts:?}"),
         Act::Replace { batch, every, .. } => format!("replaced, {batch} every {every:?}"),
+        Act::Links([to, back], lasts) => {
+            let slow = |way: &Way| match way {
+                Way { cut: true, .. } => "cut".into(),
+                way if *way == Way::default() => "open".into(),
+                way => format!("{:?} later, up to {:?} more", way.delay, way.jitter),
+            };
+            format!("links from balancers {}, back {}, for {lasts:?}", slow(to), slow(back))
+        }
+        Act::Reset => "all connections reset".into(),
     };
     format!("{whom}: {what}")
 }
@@ -379,9 +452,9 @@
 fn descriptors(experiment: &Experiment) -> Result<(), LabError> {
     let replaced = experiment.faults.iter().any(|f| matches!(f.act, Act::Replace { .. }));
     let pairs = u64::from(experiment.fleet.balancers) * u64::from(experiment.fleet.upstreams);
-    // A listener and some connections for each pair, the clients' connections, pipes and logs.
+    // A listener and a connection for each pair, the clients' connections, pipes and logs.
     let clients = (experiment.load.rate * 2.0) as u64;
-    let need = pairs * if replaced { 4 } else { 3 }
+    let need = pairs * if replaced { 3 } else { 2 }
         + clients
         + 4 * u64::from(experiment.fleet.balancers)
         + DESCRIPTORS_BESIDES;
--- a/lab/src/upstream.rs
+++ b/lab/src/upstream.rs
@@ -3,6 +3,7 @@
 use crate::discovery::Discovery;
 use crate::experiment::Experiment;
 use crate::history::{History, Listed, Process, Reply, What};
+use crate::link::{Io, Links, Other};
 use crate::machine::{Machine, Report, Turned};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -16,7 +17,7 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -52,6 +53,7 @@
     seed: u64,
     history: Arc<History>,
     discovery: Arc<Discovery>,
+    links: Arc<Links>,
     units: Mutex<Vec<Arc<Unit>>>,
 }
 
@@ -73,8 +75,14 @@
         seed: u64,
         history: Arc<History>,
         discovery: Arc<Discovery>,
+        links: Arc<Links>,
     ) -> Arc<Self> {
-        Arc::new(Self { experiment, seed, history, discovery, units: Mutex::default() })
+        Arc::new(Self { experiment, seed, history, discovery, links, units: Mutex::default() })
+    }
+
+    /// How many there have been.
+    pub fn count(&self) -> u32 {
+        self.all().len() as u32
     }
 
     /// Adds one, cold or long warm, and lists it.
@@ -96,8 +104,8 @@
             boot_ms: Mutex::new(if cold { unix_ms() } else { 0 }),
         });
         self.units.lock().unwrap_or_else(PoisonError::into_inner).push(Arc::clone(&unit));
-        for listener in listeners {
-            tokio::spawn(Arc::clone(self).accept(Arc::clone(&unit), listener));
+        for (balancer, listener) in (0u32..).zip(listeners) {
+            tokio::spawn(Arc::clone(self).accept(Arc::clone(&unit), balancer, listener));
         }
         self.listed(&unit, Listed::Ready);
         Ok(number)
@@ -213,8 +221,9 @@
         })
     }
 
-    async fn accept(self: Arc<Self>, unit: Arc<Unit>, listener: TcpListener) {
+    async fn accept(self: Arc<Self>, unit: Arc<Unit>, balancer: u32, listener: TcpListener) {
         let Ok(address) = listener.local_addr() else { return };
+        let link = self.links.between(balancer, Other::Upstream(unit.number));
         let (mut phase, mut listener) = (unit.phase.subscribe(), Some(listener));
         loop {
             let listening = match listener.take() {
@@ -234,6 +243,8 @@
                 tokio::select! {
                     accepted = listening.accept() => match accepted {
                         Ok((stream, _)) => {
+                            let _ = stream.set_nodelay(true);
+                            let stream = link.through(stream);
                             tokio::spawn(Arc::clone(&self).connection(Arc::clone(&unit), stream));
                         }
                         Err(e) => {
@@ -247,11 +258,10 @@
         }
     }
 
-    async fn connection(self: Arc<Self>, unit: Arc<Unit>, stream: TcpStream) {
+    async fn connection(self: Arc<Self>, unit: Arc<Unit>, stream: Box<dyn Io>) {
         let model = &self.experiment.upstream;
         let most = model.connections_per_core * model.cores;
         if unit.connections.fetch_add(1, Ordering::Relaxed) < most {
-            let _ = stream.set_nodelay(true);
             let mut phase = unit.phase.subscribe();
             let was_silent = *phase.borrow_and_update() == Phase::Silent;
             let (upstreams, of) = (Arc::clone(&self), Arc::clone(&unit));
