Make the balancer a library with a thin program, and move its unit tests to test files

Need: tests of crossing events have to reach the parts of the balancer, and unit tests are to leave src/. Change: moves and names only. node/src/lib.rs holds the modules, main.rs the start, process.rs the life of the process; requests, exchanges, the clock and what is in flight get files of their own; the harness of the process tests is split into processes and peers. seldom becomes rate_limited, leaving draining, cut_off force_close. One test took a permit by a private call; it now holds the only connection by an attempt, which is as strict.

--- a/node/src/connection.rs
+++ b/node/src/connection.rs
@@ -137,38 +137,3 @@
         headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len()).sum();
     (line + headers + "\r\n".len()) as u64 + request.body().size_hint().exact().unwrap_or(0)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use hyper::header::{CONTENT_LENGTH, HOST};
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    use tokio::net::TcpListener;
-
-    /// Guards the proof that a request never ran: it rests on knowing how long the request is on the wire.
-    #[tokio::test(flavor = "local")]
-    async fn the_length_on_the_wire_is_known_beforehand() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let peer = listener.local_addr().unwrap();
-        for (method, body) in [("GET", ""), ("POST", ""), ("POST", "some words")] {
-            let mut connection = Connection::open(peer, ()).await.unwrap();
-            let mut request = Request::builder().method(method).uri("/book/day?n=1").header(HOST, "app.svc");
-            if method == "POST" {
-                request = request.header(CONTENT_LENGTH, body.len());
-            }
-            let request = request.body(Full::from(body)).unwrap();
-            let length = wire_length(&request);
-            let upstream = async {
-                let (mut stream, _) = listener.accept().await.unwrap();
-                let mut read = vec![0; length as usize];
-                stream.read_exact(&mut read).await.unwrap();
-                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
-                String::from_utf8(read).unwrap()
-            };
-            let (answer, read) = tokio::join!(connection.send(request), upstream);
-            assert!(answer.unwrap().status().is_success());
-            assert!(read.ends_with(&format!("\r\n\r\n{body}")), "{read:?}");
-            assert_eq!(connection.written(), length);
-        }
-    }
-}
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: the whole list when asked for it, and the watch on its changes.
 
 use crate::connection::Connection;
-use crate::seldom::Seldom;
+use crate::rate_limited::RateLimitedWarning;
 use crate::upstream::Place;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -105,7 +105,7 @@
     /// The version of the list in hand; 0: none.
     rev: Cell<u64>,
     watch: RefCell<Option<AbortHandle>>,
-    odd: Seldom,
+    warnings: RateLimitedWarning,
 }
 
 type Failure = Box<dyn Error + Send + Sync>;
@@ -114,7 +114,13 @@
     /// Discovery at an address; `names` turn zones and kinds into numbers.
     pub fn new(address: SocketAddr, names: Names) -> Self {
         let address = Cell::new(address);
-        Self { address, names, rev: Cell::new(0), watch: RefCell::default(), odd: Seldom::default() }
+        Self {
+            address,
+            names,
+            rev: Cell::new(0),
+            watch: RefCell::default(),
+            warnings: RateLimitedWarning::default(),
+        }
     }
 
     /// Reads a list. An entry that can't be read is skipped; a list that can't be read is an error.
@@ -122,7 +128,7 @@
         let list: RawList<'_> = serde_json::from_slice(text)?;
         let entries = list.targets.iter().filter_map(|raw| {
             let entry = self.entry(raw.get());
-            entry.map_err(|e| self.odd.warn(|| format!("unreadable list entry: {e}"))).ok()
+            entry.map_err(|e| self.warnings.warn(|| format!("unreadable list entry: {e}"))).ok()
         });
         let entries = entries.collect();
         self.rev.set(list.rev);
@@ -175,7 +181,7 @@
             Ok::<_, Failure>(News { scope: FleetScope::Full, ..news })
         };
         read.await.unwrap_or_else(|e| {
-            self.odd.warn(|| format!("no list: {e}"));
+            self.warnings.warn(|| format!("no list: {e}"));
             News::failed()
         })
     }
@@ -195,7 +201,7 @@
     /// Watches the list until the watch ends, and tells what comes; the last word is that it has failed.
     pub async fn watch(&self, mut tell: impl FnMut(News)) {
         if let Err(e) = self.follow(&mut tell).await {
-            self.odd.warn(|| format!("watch ended: {e}"));
+            self.warnings.warn(|| format!("watch ended: {e}"));
         }
         tell(News::failed());
     }
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -4,77 +4,29 @@
 //! Everything that happens is put in a queue and played from there, one event at a time, so that the module
 //! is never entered twice; tasks only ever add to the queue.
 
+use crate::clock::Clock;
 use crate::discovery::{Discovery, News};
+use crate::in_flight::{Answer, Asked, Attempt, Held};
 use crate::tally::Tally;
-use crate::upstream::{Ended, Outgoing, Served, Upstreams};
+use crate::upstream::{Ended, Upstreams};
 use lapisroute::{
-    Action, AttemptNo, Balancer, ClassId, Event, FleetScope, Listed, Loss, Outcome, RequestId, TenantId,
-    TimerId, UpstreamId,
+    Action, AttemptNo, Balancer, Event, FleetScope, Listed, Loss, Outcome, RequestId, TimerId, UpstreamId,
 };
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{oneshot, watch};
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-/// How far the module's clock has gone at the start: upstreams may have started before this balancer.
-const BEFORE_START: Duration = Duration::from_secs(3600);
-
 /// How often the log says how the balancer stands.
 const STANDING_EVERY: Duration = Duration::from_secs(5);
 
-/// The module's clock: it only goes forward, from an hour before the start.
-struct Clock {
-    start: Instant,
-    /// Unix time of the start.
-    start_unix: Duration,
-}
-
-impl Clock {
-    fn now(&self) -> Duration {
-        BEFORE_START + self.start.elapsed()
-    }
-
-    /// A Unix time on this clock; the same one always comes out the same. `None`: long ago.
-    fn at_unix_ms(&self, ms: u64) -> Option<Duration> {
-        let at = (Duration::from_millis(ms) + BEFORE_START).checked_sub(self.start_unix)?;
-        // Not in the future, should clocks differ.
-        (!at.is_zero()).then(|| at.min(self.now()))
-    }
-}
-
-/// The final answer to a request.
-#[derive(Debug)]
-pub enum Answer {
-    /// An upstream's.
-    Served(Served),
-    /// Trying again is harmless, after some time if one is given.
-    Refused(Option<Duration>),
-    /// Nothing is promised.
-    Failed,
-}
-
-/// A request for the module to decide on.
-pub struct Asked {
-    /// Its class.
-    pub class: ClassId,
-    /// Its tenant.
-    pub tenant: TenantId,
-    /// When the client stops waiting.
-    pub deadline: Instant,
-    /// Expected work in milliseconds, where the client says so.
-    pub work_ms: Option<f64>,
-    /// The client says that it has tried this before.
-    pub repeat: bool,
-    /// What is passed on.
-    pub outgoing: Outgoing,
-}
-
-enum Happening {
+/// What is told to the module next.
+enum Queued {
     Fleet(News),
     Asked(RequestId),
     AttemptEnded(RequestId, AttemptNo, Ended),
@@ -83,21 +35,6 @@
     Timer(TimerId),
 }
 
-struct Attempt {
-    upstream: UpstreamId,
-    sent: Instant,
-    task: AbortHandle,
-    out: bool,
-}
-
-struct Held {
-    asked: Rc<Asked>,
-    came: Instant,
-    /// Taken with the final answer.
-    reply: Option<oneshot::Sender<Answer>>,
-    attempts: Vec<Attempt>,
-}
-
 struct Core {
     balancer: Balancer,
     requests: FxHashMap<RequestId, Held>,
@@ -110,12 +47,12 @@
 pub struct Driver {
     clock: Clock,
     core: RefCell<Core>,
-    queue: RefCell<VecDeque<Happening>>,
+    queue: RefCell<VecDeque<Queued>>,
     playing: Cell<bool>,
     upstreams: Upstreams,
     discovery: Discovery,
     /// Set when what is held has to end.
-    cut_off: watch::Sender<bool>,
+    force_close: watch::Sender<bool>,
 }
 
 impl Driver {
@@ -127,22 +64,21 @@
         discovery: Discovery,
         known: News,
     ) -> Rc<Self> {
-        let start_unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let core = Core { balancer, requests: FxHashMap::default(), actions: Vec::new(), next_id: 0, tally };
         let driver = Rc::new(Self {
-            clock: Clock { start: Instant::now(), start_unix },
+            clock: Clock::start(),
             core: RefCell::new(core),
             queue: RefCell::default(),
             playing: Cell::new(false),
             upstreams,
             discovery,
-            cut_off: watch::Sender::new(false),
+            force_close: watch::Sender::new(false),
         });
         let sweeper = Rc::clone(&driver);
         spawn_local(async move { sweeper.upstreams.sweep().await });
         let teller = Rc::clone(&driver);
         spawn_local(async move { teller.tell_standing().await });
-        driver.happened(Happening::Fleet(known));
+        driver.happened(Queued::Fleet(known));
         driver
     }
 
@@ -160,7 +96,7 @@
             core.requests.insert(id, held);
             id
         };
-        self.happened(Happening::Asked(id));
+        self.happened(Queued::Asked(id));
         Pending { driver: Rc::clone(self), id, answer: Some(answer) }
     }
 
@@ -175,7 +111,7 @@
     fn watch(self: &Rc<Self>) {
         let driver = Rc::clone(self);
         let watch = spawn_local(async move {
-            driver.discovery.watch(|news| driver.happened(Happening::Fleet(news))).await;
+            driver.discovery.watch(|news| driver.happened(Queued::Fleet(news))).await;
         });
         self.discovery.watched_by(watch.abort_handle());
     }
@@ -193,13 +129,13 @@
 
     /// Ends all attempts that are out, and each that may follow, so that the module gives what it holds its
     /// final answer: the process is about to end.
-    pub fn cut_off(&self) {
-        self.cut_off.send_replace(true);
+    pub fn force_close(&self) {
+        self.force_close.send_replace(true);
     }
 
     /// Takes in what has happened and does what follows from it.
-    fn happened(self: &Rc<Self>, happening: Happening) {
-        self.queue.borrow_mut().push_back(happening);
+    fn happened(self: &Rc<Self>, event: Queued) {
+        self.queue.borrow_mut().push_back(event);
         if self.playing.replace(true) {
             return;
         }
@@ -212,16 +148,16 @@
     }
 
     /// Plays one event into the module and carries out its actions.
-    fn play(self: &Rc<Self>, core: &mut Core, happening: Happening) {
+    fn play(self: &Rc<Self>, core: &mut Core, event: Queued) {
         let now = self.clock.now();
         let mut actions = std::mem::take(&mut core.actions);
-        match happening {
-            Happening::Fleet(news) => {
+        match event {
+            Queued::Fleet(news) => {
                 let listed = self.fleet(&news);
                 let event = Event::Fleet { scope: news.scope, listed: &listed };
                 core.balancer.handle(now, event, &mut actions);
             }
-            Happening::Asked(id) => {
+            Queued::Asked(id) => {
                 let Some(held) = core.requests.get(&id) else { return };
                 let asked = &held.asked;
                 core.tally.asked(asked.class);
@@ -238,7 +174,7 @@
                 tracing::debug!(id = id.0, class, tenant, ?left, repeat = asked.repeat, "asked");
                 core.balancer.handle(now, event, &mut actions);
             }
-            Happening::AttemptEnded(id, no, ended) => {
+            Queued::AttemptEnded(id, no, ended) => {
                 let Some(held) = core.requests.get_mut(&id) else { return };
                 // One event for each: a cancelled attempt may have ended by itself just before.
                 let Some(attempt) = held.attempts.get_mut(usize::from(no.0)).filter(|a| a.out) else {
@@ -270,12 +206,12 @@
                 core.balancer.handle(now, event, &mut actions);
                 self.forget_if_over(core, id);
             }
-            Happening::ProbeEnded(upstream, latency, ended) => {
+            Queued::ProbeEnded(upstream, latency, ended) => {
                 let event =
                     Event::ProbeEnded { upstream, outcome: ended.outcome, latency, report: &ended.report };
                 core.balancer.handle(now, event, &mut actions);
             }
-            Happening::Gone(id) => {
+            Queued::Gone(id) => {
                 let Some(held) = core.requests.get_mut(&id) else { return };
                 if held.reply.take().is_some() {
                     core.tally.gone(held.asked.class);
@@ -283,7 +219,7 @@
                 }
                 self.forget_if_over(core, id);
             }
-            Happening::Timer(timer) => core.balancer.handle(now, Event::Timer { timer }, &mut actions),
+            Queued::Timer(timer) => core.balancer.handle(now, Event::Timer { timer }, &mut actions),
         }
         for action in actions.drain(..) {
             self.carry_out(core, action);
@@ -319,7 +255,7 @@
                 let out = core.requests.get(&id).and_then(|held| held.attempts.get(usize::from(attempt.0)));
                 if let Some(out) = out.filter(|a| a.out) {
                     out.task.abort();
-                    let cancelled = Happening::AttemptEnded(id, attempt, Outcome::Cancelled.into());
+                    let cancelled = Queued::AttemptEnded(id, attempt, Outcome::Cancelled.into());
                     self.queue.borrow_mut().push_back(cancelled);
                 }
             }
@@ -335,7 +271,7 @@
                 let driver = Rc::clone(self);
                 spawn_local(async move {
                     sleep(after).await;
-                    driver.happened(Happening::Timer(timer));
+                    driver.happened(Queued::Timer(timer));
                 });
             }
             Action::WatchFleet => self.watch(),
@@ -343,7 +279,7 @@
                 let driver = Rc::clone(self);
                 spawn_local(async move {
                     let news = driver.discovery.fetch().await;
-                    driver.happened(Happening::Fleet(news));
+                    driver.happened(Queued::Fleet(news));
                 });
             }
             Action::CloseIdle { upstream } => self.upstreams.close_idle(upstream),
@@ -351,7 +287,7 @@
                 let (driver, sent) = (Rc::clone(self), Instant::now());
                 spawn_local(async move {
                     let ended = driver.upstreams.probe(upstream).await;
-                    driver.happened(Happening::ProbeEnded(upstream, sent.elapsed(), ended));
+                    driver.happened(Queued::ProbeEnded(upstream, sent.elapsed(), ended));
                 });
             }
             Action::Log { line } => tracing::info!("{line}"),
@@ -369,17 +305,17 @@
         let (sent, no) = (Instant::now(), AttemptNo(held.attempts.len() as u8));
         let give_up = timeout.map_or(held.asked.deadline, |t| held.asked.deadline.min(sent + t));
         let (driver, asked) = (Rc::clone(self), Rc::clone(&held.asked));
-        let mut cut_off = self.cut_off.subscribe();
+        let mut force_close = self.force_close.subscribe();
         let task = spawn_local(async move {
-            let ended = if *cut_off.borrow() {
+            let ended = if *force_close.borrow() {
                 Outcome::NotSent.into()
             } else {
                 tokio::select! {
                     ended = driver.upstreams.attempt(upstream, &asked.outgoing, give_up) => ended,
-                    _ = cut_off.wait_for(|cut| *cut) => Outcome::TimedOut.into(),
+                    _ = force_close.wait_for(|cut| *cut) => Outcome::TimedOut.into(),
                 }
             };
-            driver.happened(Happening::AttemptEnded(id, no, ended));
+            driver.happened(Queued::AttemptEnded(id, no, ended));
         });
         held.attempts.push(Attempt { upstream, sent, task: task.abort_handle(), out: true });
     }
@@ -424,7 +360,7 @@
 impl Drop for Pending {
     fn drop(&mut self) {
         if self.answer.take().is_some() {
-            self.driver.happened(Happening::Gone(self.id));
+            self.driver.happened(Queued::Gone(self.id));
         }
     }
 }
--- /dev/null
+++ b/node/src/in_flight.rs
@@ -0,0 +1,54 @@
+//! Requests in flight: what was asked, the attempts that are out, the answer that is owed.
+
+use crate::exchange::Outgoing;
+use crate::upstream::Served;
+use lapisroute::{ClassId, TenantId, UpstreamId};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// The final answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// An upstream's.
+    Served(Served),
+    /// Trying again is harmless, after some time if one is given.
+    Refused(Option<Duration>),
+    /// Nothing is promised.
+    Failed,
+}
+
+/// A request for the module to decide on.
+pub struct Asked {
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: TenantId,
+    /// When the client stops waiting.
+    pub deadline: Instant,
+    /// Expected work in milliseconds, where the client says so.
+    pub work_ms: Option<f64>,
+    /// The client says that it has tried this before.
+    pub repeat: bool,
+    /// What is passed on.
+    pub outgoing: Outgoing,
+}
+
+/// One attempt of it.
+pub(crate) struct Attempt {
+    pub(crate) upstream: UpstreamId,
+    pub(crate) sent: Instant,
+    pub(crate) task: AbortHandle,
+    pub(crate) out: bool,
+}
+
+/// A request that is owed its answer, or has attempts out.
+pub(crate) struct Held {
+    pub(crate) asked: Rc<Asked>,
+    pub(crate) came: Instant,
+    /// Taken with the final answer.
+    pub(crate) reply: Option<oneshot::Sender<Answer>>,
+    pub(crate) attempts: Vec<Attempt>,
+}
--- /dev/null
+++ b/node/src/lib.rs
@@ -0,0 +1,18 @@
+//! `maplehook`: a load balancer on real sockets. Every decision is the `lapisroute` library's; this crate does the
+//! input and output round it, on one thread.
+
+pub mod clock;
+pub mod config;
+pub mod connection;
+pub mod discovery;
+pub mod driver;
+pub mod exchange;
+pub mod headers;
+pub mod in_flight;
+pub mod members;
+pub mod process;
+pub mod rate_limited;
+pub mod request;
+pub mod server;
+pub mod tally;
+pub mod upstream;
--- /dev/null
+++ b/node/src/process.rs
@@ -0,0 +1,81 @@
+//! The life of the process: start, reload at SIGHUP, graceful shutdown at SIGTERM.
+
+use crate::config::Config;
+use crate::discovery::Discovery;
+use crate::driver::Driver;
+use crate::members::Members;
+use crate::server::{Phase, Server};
+use crate::tally::Tally;
+use crate::upstream::Upstreams;
+use lapisroute::Balancer;
+use std::error::Error;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// After SIGTERM the front goes on dealing out new connections for 0.4 s at most.
+const ACCEPT_AFTER_TERM: Duration = Duration::from_millis(600);
+/// SIGKILL may come when the longest deadline, 3 s at most, and 0.7 s more have passed; this is a bit before.
+const KILL_DEADLINE_MOST: Duration = Duration::from_secs(3);
+const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(600);
+/// For the answers to what is then still held.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
+
+/// Serves clients until SIGTERM, and then until what it holds has its final answers.
+pub async fn serve(config: Config) -> Result<(), Box<dyn Error>> {
+    let balancer = Balancer::new(config.site.settings.clone(), config.seed)?;
+    let mut term = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let listener =
+        TcpListener::bind(config.listen).await.map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let upstreams = Upstreams::new(&config.site.settings, config.upstream_connections());
+    let discovery = Discovery::new(config.discovery, config.site.names.clone());
+    let known = discovery.known(&config.known);
+    let members = match &config.members {
+        Some(members) => Some(Members::start(members, config.seed).await?),
+        None => None,
+    };
+    tracing::info!(listen = %listener.local_addr()?, upstreams = known.entries.len(), "serving");
+    let tally = Tally::new(&config.site);
+    let driver = Driver::start(balancer, tally, upstreams, discovery, known);
+    let (phase, phases) = watch::channel(Phase::Serving);
+    let server = Server::new(driver.clone(), &config.site, phases);
+    let mut accepting = spawn_local(server.run(listener, config.client_connections()));
+
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hangup.recv() => reload(&driver),
+        }
+    }
+    tracing::info!("draining");
+    if let Some(members) = &members {
+        members.leave();
+    }
+    phase.send_replace(Phase::Draining);
+    sleep(ACCEPT_AFTER_TERM).await;
+    phase.send_replace(Phase::Closing);
+    let deadlines = config.site.settings.classes.iter().map(|class| class.deadline);
+    let longest = deadlines.max().unwrap_or_default().min(KILL_DEADLINE_MOST);
+    let rest = (longest + KILL_AFTER_DEADLINE).saturating_sub(ACCEPT_AFTER_TERM + LAST_ANSWERS);
+    if timeout(rest, &mut accepting).await.is_err() {
+        driver.force_close();
+        let _ = timeout(LAST_ANSWERS, &mut accepting).await;
+    }
+    Ok(())
+}
+
+/// Takes in the configuration file anew: discovery may have moved. The rest of it holds for a process's life.
+fn reload(driver: &Rc<Driver>) {
+    match Config::from_env() {
+        Ok(config) => {
+            tracing::info!(discovery = %config.discovery, "reloaded");
+            driver.discovery_at(config.discovery);
+        }
+        Err(e) => tracing::warn!("not reloaded: {e}"),
+    }
+}
--- a/node/src/seldom.rs
+++ b/node/src/rate_limited.rs
@@ -7,12 +7,12 @@
 
 /// Lets one line a second pass and counts the others.
 #[derive(Default)]
-pub struct Seldom {
+pub struct RateLimitedWarning {
     last: Cell<Option<Instant>>,
     skipped: Cell<u64>,
 }
 
-impl Seldom {
+impl RateLimitedWarning {
     /// A warning, unless one has passed within the second.
     pub fn warn(&self, what: impl FnOnce() -> String) {
         let now = Instant::now();
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -4,12 +4,12 @@
 //! take the request's last byte before the connection ended, or the upstream says so itself.
 
 use crate::connection::{Connection, wire_length};
-use crate::headers::{self, LOAD, TIME_LEFT, UNPROCESSED};
-use crate::seldom::Seldom;
+use crate::exchange::{ExchangeError, Outgoing, exchange};
+use crate::headers::{self, LOAD, UNPROCESSED};
+use crate::rate_limited::RateLimitedWarning;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::header::{HOST, HeaderMap, HeaderValue};
+use hyper::{Method, Response, StatusCode, Uri};
 use lapisroute::{Availability, LoadField, Outcome, Reports, Settings, UpstreamId};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -21,8 +21,6 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
 
-/// The longest body of an answer; more is no answer.
-const BODY_MOST: usize = 64 * 1024;
 /// Share of the upstreams' idle time after which a connection is closed or not used any more: a request that
 /// crosses the upstream's own close ends as a reset, and an unsafe one is lost to its client then.
 const IDLE_SHARE: f64 = 0.8;
@@ -31,18 +29,6 @@
 /// How long a probe may take.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// A request as it is passed on.
-pub struct Outgoing {
-    /// Its method.
-    pub method: Method,
-    /// Path and query.
-    pub target: Uri,
-    /// Its end-to-end headers.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Bytes,
-}
-
 /// An upstream's 200 answer.
 #[derive(Debug)]
 pub struct Served {
@@ -123,8 +109,8 @@
     idle_most: Duration,
     reports: Reports,
     report_fields: Vec<LoadField>,
-    odd_reports: Seldom,
-    odd_answers: Seldom,
+    report_warnings: RateLimitedWarning,
+    answer_warnings: RateLimitedWarning,
 }
 
 impl Upstreams {
@@ -138,8 +124,8 @@
             idle_most: settings.conn_idle.mul_f64(IDLE_SHARE),
             reports: settings.reports,
             report_fields: settings.report_fields.clone(),
-            odd_reports: Seldom::default(),
-            odd_answers: Seldom::default(),
+            report_warnings: RateLimitedWarning::default(),
+            answer_warnings: RateLimitedWarning::default(),
         }
     }
 
@@ -203,6 +189,11 @@
         }
     }
 
+    /// Connections open now, to all of them together.
+    pub fn open_connections(&self) -> usize {
+        self.open.count.get()
+    }
+
     fn close_an_idle_one(&self) {
         let known = self.known.borrow();
         let mut idle = known.values().map(|u| u.idle.borrow_mut());
@@ -265,7 +256,7 @@
                 upstream.put_back(connection);
                 return Outcome::NotSent.into();
             }
-            let request = request(outgoing, left);
+            let request = outgoing.request(left);
             let (before, length) = (connection.written(), wire_length(&request));
             let exchanged = timeout_at(give_up, exchange(&mut connection, request)).await;
             let written = connection.written() - before;
@@ -278,13 +269,13 @@
                     return self.answered(response);
                 }
                 // Its process lives and has answered, so that this is no broken connection.
-                Ok(Err(Broken::Unreadable(e))) => {
-                    self.odd_answers.warn(|| format!("unreadable answer of upstream {}: {e}", id.0));
+                Ok(Err(ExchangeError::Unreadable(e))) => {
+                    self.answer_warnings.warn(|| format!("unreadable answer of upstream {}: {e}", id.0));
                     return Outcome::Error.into();
                 }
                 // It had ended unseen while idle. Nothing of the request has left: another is taken.
-                Ok(Err(Broken::Ended(_))) if reused && written == 0 => {}
-                Ok(Err(Broken::Ended(e))) => {
+                Ok(Err(ExchangeError::Ended(_))) if reused && written == 0 => {}
+                Ok(Err(ExchangeError::Ended(e))) => {
                     tracing::debug!(upstream = id.0, written, length, "broken: {e}");
                     return if written < length { Outcome::ConnectFailed } else { Outcome::Reset }.into();
                 }
@@ -331,7 +322,7 @@
         let read = std::str::from_utf8(text).ok().and_then(|t| headers::load_report(t, &self.report_fields));
         read.unwrap_or_else(|| {
             let shown = || String::from_utf8_lossy(&text[..text.len().min(80)]).into_owned();
-            self.odd_reports.warn(|| format!("unreadable load report {:?}", shown()));
+            self.report_warnings.warn(|| format!("unreadable load report {:?}", shown()));
             Vec::new()
         })
     }
@@ -341,163 +332,3 @@
     // EMFILE and ENFILE have no kind of their own.
     matches!(e.raw_os_error(), Some(23 | 24))
 }
-
-/// The request of one attempt: how long the balancer will wait is its own.
-fn request(outgoing: &Outgoing, left: Duration) -> Request<Full<Bytes>> {
-    let mut headers = outgoing.headers.clone();
-    headers.insert(TIME_LEFT, HeaderValue::from(left.as_millis() as u64));
-    if outgoing.method != Method::GET || !outgoing.body.is_empty() {
-        headers.insert(CONTENT_LENGTH, HeaderValue::from(outgoing.body.len()));
-    }
-    let mut request = Request::new(Full::new(outgoing.body.clone()));
-    *request.method_mut() = outgoing.method.clone();
-    *request.uri_mut() = outgoing.target.clone();
-    *request.headers_mut() = headers;
-    request
-}
-
-/// Why an exchange has no answer.
-enum Broken {
-    /// The connection ended without one.
-    Ended(hyper::Error),
-    /// The upstream answered, with something that can't be read.
-    Unreadable(Box<dyn std::error::Error + Send + Sync>),
-}
-
-/// One request and its whole answer.
-async fn exchange(
-    connection: &mut Connection,
-    request: Request<Full<Bytes>>,
-) -> Result<Response<Bytes>, Broken> {
-    let response = connection.send(request).await;
-    let response =
-        response.map_err(|e| if e.is_parse() { Broken::Unreadable(e.into()) } else { Broken::Ended(e) })?;
-    let (parts, body) = response.into_parts();
-    let body = Limited::new(body, BODY_MOST).collect().await.map_err(Broken::Unreadable)?;
-    Ok(Response::from_parts(parts, body.to_bytes()))
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    use tokio::net::TcpListener;
-    use tokio::task::spawn_local;
-
-    const ID: UpstreamId = UpstreamId(7);
-    const LONG: Duration = Duration::from_secs(20);
-
-    fn outgoing() -> Outgoing {
-        Outgoing {
-            method: Method::POST,
-            target: Uri::from_static("/book"),
-            headers: HeaderMap::new(),
-            body: Bytes::from_static(b"x"),
-        }
-    }
-
-    async fn upstreams(most_open: usize) -> (Rc<Upstreams>, TcpListener, Place) {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let settings = Settings { connect_timeout: LONG, conn_idle: LONG, ..Settings::default() };
-        let upstreams = Rc::new(Upstreams::new(&settings, most_open));
-        let endpoint = Some(listener.local_addr().unwrap());
-        let place = Place { endpoint, availability: Availability::Ready, boot_ms: 0 };
-        upstreams.place(ID, &place);
-        (upstreams, listener, place)
-    }
-
-    /// Guards the drain rule where an attempt was decided on before the news and has no connection yet.
-    #[tokio::test(flavor = "local")]
-    async fn an_attempt_that_waits_for_a_connection_heeds_a_drain() {
-        let (upstreams, listener, mut place) = upstreams(1).await;
-        let held = Rc::clone(&upstreams);
-        let first = spawn_local(async move { held.attempt(ID, &outgoing(), Instant::now() + LONG).await });
-        let (mut stream, _) = listener.accept().await.unwrap();
-        assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
-        // The only place is taken: this one waits.
-        let waits = Rc::clone(&upstreams);
-        let second = spawn_local(async move { waits.attempt(ID, &outgoing(), Instant::now() + LONG).await });
-        tokio::task::yield_now().await;
-        place.availability = Availability::Draining;
-        upstreams.place(ID, &place);
-        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
-        assert_eq!(first.await.unwrap().outcome, Outcome::Ok, "what it has it finishes");
-        assert_eq!(second.await.unwrap().outcome, Outcome::NotSent);
-        assert_eq!(stream.read(&mut [0; 1024]).await.unwrap_or(0), 0, "nothing more came");
-    }
-
-    /// Guards against taking out an upstream whose process lives: only a connection that ends without an
-    /// answer is a reset. What can't be read may have run all the same.
-    #[tokio::test(flavor = "local")]
-    async fn an_unreadable_answer_is_an_error_and_a_missing_one_a_reset() {
-        let (upstreams, listener, _) = upstreams(8).await;
-        let long = format!("HTTP/1.1 200 OK\r\nX-Long: {}\r\n\r\n", "y".repeat(64 * 1024));
-        for (answer, outcome) in [
-            ("", Outcome::Reset),
-            ("HTTP/9.9 200 OK\r\nContent-Length: 0\r\n\r\n", Outcome::Error),
-            ("HTTP/1.1 abc OK\r\nContent-Length: 0\r\n\r\n", Outcome::Error),
-            ("HTTP/1.1 200 OK\r\nContent-Length: few\r\n\r\n", Outcome::Error),
-            ("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nhalf", Outcome::Error),
-            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", Outcome::Error),
-            ("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", Outcome::Error),
-            (&long, Outcome::Error),
-        ] {
-            let respond = async {
-                let (mut stream, _) = listener.accept().await.unwrap();
-                assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
-                // The balancer may close as soon as it has seen enough.
-                let _ = stream.write_all(answer.as_bytes()).await;
-            };
-            let request = outgoing();
-            let (ended, ()) = tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), respond);
-            assert_eq!(ended.outcome, outcome, "{:?}", &answer[..answer.len().min(60)]);
-            assert!(ended.served.is_none());
-        }
-    }
-
-    /// Guards against the moment between an upstream's close and this process's look at it.
-    #[tokio::test(flavor = "local")]
-    async fn a_connection_that_has_just_been_closed_is_not_written_to() {
-        let (upstreams, listener, _) = upstreams(8).await;
-        for _ in 0..20 {
-            let answer = async {
-                let (mut stream, _) = listener.accept().await.unwrap();
-                assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
-                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
-                stream
-            };
-            let request = outgoing();
-            // Without the guard the request goes into the old connection and no new one ever comes.
-            let both = async { tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), answer) };
-            let (ended, stream) = timeout_at(Instant::now() + LONG, both).await.expect("a new connection");
-            assert_eq!(ended.outcome, Outcome::Ok);
-            // No task runs between this and the next attempt.
-            drop(stream);
-        }
-    }
-
-    /// Guards against running out of descriptors: an idle connection makes room, and where there is none
-    /// the wait ends as not sent, which says nothing of the upstream.
-    #[tokio::test(flavor = "local")]
-    async fn connections_stay_under_the_limit() {
-        let (upstreams, listener, place) = upstreams(1).await;
-        let other = UpstreamId(8);
-        upstreams.place(other, &place);
-        for id in [ID, other] {
-            let answer = async {
-                let (mut stream, _) = listener.accept().await.unwrap();
-                assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
-                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
-                stream
-            };
-            let request = outgoing();
-            let (ended, _stream) =
-                tokio::join!(upstreams.attempt(id, &request, Instant::now() + LONG), answer);
-            assert_eq!(ended.outcome, Outcome::Ok);
-            assert_eq!(upstreams.open.count.get(), 1);
-        }
-        let _taken = upstreams.slot().await;
-        let ended = upstreams.attempt(ID, &outgoing(), Instant::now() + Duration::from_millis(50)).await;
-        assert_eq!(ended.outcome, Outcome::NotSent);
-    }
-}
--- /dev/null
+++ b/node/tests/config.rs
@@ -0,0 +1,50 @@
+//! The configuration file: what it says, and what is wrong with it.
+
+use frostkeel_membership::Place;
+use maplehook::config::{Config, RESERVED_SOCKETS};
+
+const GOOD: &str = r#"{"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": {"rev": 4, "targets": []},
+    "settings": {"classes": [{"name": "a", "aim_ms": 200, "effect": "idempotent"}]}}"#;
+
+#[test]
+fn the_descriptors_are_shared_out_within_the_limit() {
+    let config = Config::parse(GOOD).unwrap();
+    assert_eq!(config.seed, 0x8c1f_30d2_7a5b_e964);
+    let out = config.upstream_connections() + config.client_connections() + RESERVED_SOCKETS;
+    assert_eq!(out, 1024);
+    assert!(config.known.contains("targets"));
+}
+
+#[test]
+fn members_are_off_unless_named_and_refused_where_they_cannot_be_meant() {
+    assert!(Config::parse(GOOD).unwrap().members.is_none());
+    let told = r#""peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:5", "127.0.0.1:6"],
+        "membership": {"fleet": "f", "page": "127.0.0.1:0"}, "settings": {"me": 1,"#;
+    let told = GOOD.replace(r#""settings": {"#, told);
+    let members = Config::parse(&told).unwrap().members.expect("named");
+    assert_eq!((members.place, members.peers.len(), members.name.as_str()), (Place(1), 2, "n0"));
+    for (from, to, named) in [
+        (r#""me": 1"#, r#""me": 2"#, "settings.me is 2"),
+        (r#""peer_listen": "127.0.0.1:0","#, "", "peer_listen"),
+        (r#""page": "127.0.0.1:0""#, r#""page": "10.0.0.4:80""#, "loopback"),
+        (r#""name": "n0""#, r#""name": "n 0""#, "no name"),
+        (r#""fleet": "f""#, r#""fleets": "f""#, "fleets"),
+    ] {
+        let error = Config::parse(&told.replace(from, to)).unwrap_err().to_string();
+        assert!(error.contains(named), "{error}");
+    }
+}
+
+#[test]
+fn what_is_wrong_is_named() {
+    for (from, to, named) in [
+        ("127.0.0.1:9", "nowhere", "socket address"),
+        ("8c1f", "zzzz", "seed"),
+        ("1024", "20", "sockets"),
+        ("idempotent", "maybe", "maybe"),
+    ] {
+        let error = Config::parse(&GOOD.replace(from, to)).unwrap_err().to_string();
+        assert!(error.contains(named), "{error}");
+    }
+}
--- /dev/null
+++ b/node/tests/headers.rs
@@ -0,0 +1,29 @@
+//! Load reports and the headers that stay behind.
+
+use hyper::header::{CONNECTION, HeaderMap, TRANSFER_ENCODING};
+use lapisroute::LoadField;
+use maplehook::headers::{CORRELATION_ID, load_report, strip_hop_by_hop};
+
+#[test]
+fn load_reports_keep_the_order_of_the_settings() {
+    let fields = [LoadField::Queue, LoadField::InFlight];
+    assert_eq!(load_report("inflight=7,queue=2,util=0.61", &fields), Some(vec![2.0, 7.0]));
+    let half = load_report("depth=3, inflight=many", &fields).unwrap();
+    assert_eq!(half[0], 3.0);
+    assert!(half[1].is_nan());
+    for bad in ["", "queue", "queue=nan", "a=1", "=,=,=", "queue=inf"] {
+        assert_eq!(load_report(bad, &fields), None, "{bad}");
+    }
+}
+
+#[test]
+fn what_speaks_of_one_connection_stays_behind() {
+    let mut headers = HeaderMap::new();
+    headers.insert(CONNECTION, "close, X-Mine".parse().unwrap());
+    headers.insert("x-mine", "1".parse().unwrap());
+    headers.insert(TRANSFER_ENCODING, "chunked".parse().unwrap());
+    headers.insert(CORRELATION_ID, "9b1f".parse().unwrap());
+    strip_hop_by_hop(&mut headers);
+    assert_eq!(headers.len(), 1);
+    assert!(headers.contains_key(CORRELATION_ID));
+}
--- /dev/null
+++ b/node/tests/upstreams.rs
@@ -0,0 +1,139 @@
+//! Attempts at upstreams on real sockets.
+
+use bytes::Bytes;
+use hyper::header::HeaderMap;
+use hyper::{Method, Uri};
+use lapisroute::{Availability, Outcome, Settings, UpstreamId};
+use maplehook::exchange::Outgoing;
+use maplehook::upstream::{Ended, Place, Upstreams};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, timeout_at};
+
+const ID: UpstreamId = UpstreamId(7);
+const LONG: Duration = Duration::from_secs(20);
+
+fn outgoing() -> Outgoing {
+    Outgoing {
+        method: Method::POST,
+        target: Uri::from_static("/book"),
+        headers: HeaderMap::new(),
+        body: Bytes::from_static(b"x"),
+    }
+}
+
+async fn upstreams(most_open: usize) -> (Rc<Upstreams>, TcpListener, Place) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let settings = Settings { connect_timeout: LONG, conn_idle: LONG, ..Settings::default() };
+    let upstreams = Rc::new(Upstreams::new(&settings, most_open));
+    let endpoint = Some(listener.local_addr().unwrap());
+    let place = Place { endpoint, availability: Availability::Ready, boot_ms: 0 };
+    upstreams.place(ID, &place);
+    (upstreams, listener, place)
+}
+
+async fn attempt(upstreams: &Upstreams, id: UpstreamId, outgoing: &Outgoing, give_up: Instant) -> Ended {
+    upstreams.attempt(id, outgoing, give_up).await
+}
+
+/// Guards the drain rule where an attempt was decided on before the news and has no connection yet.
+#[tokio::test(flavor = "local")]
+async fn an_attempt_that_waits_for_a_connection_heeds_a_drain() {
+    let (upstreams, listener, mut place) = upstreams(1).await;
+    let held = Rc::clone(&upstreams);
+    let first = spawn_local(async move { attempt(&held, ID, &outgoing(), Instant::now() + LONG).await });
+    let (mut stream, _) = listener.accept().await.unwrap();
+    assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+    // The only place is taken: this one waits.
+    let waits = Rc::clone(&upstreams);
+    let second = spawn_local(async move { attempt(&waits, ID, &outgoing(), Instant::now() + LONG).await });
+    tokio::task::yield_now().await;
+    place.availability = Availability::Draining;
+    upstreams.place(ID, &place);
+    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+    assert_eq!(first.await.unwrap().outcome, Outcome::Ok, "what it has it finishes");
+    assert_eq!(second.await.unwrap().outcome, Outcome::NotSent);
+    assert_eq!(stream.read(&mut [0; 1024]).await.unwrap_or(0), 0, "nothing more came");
+}
+
+/// Guards against taking out an upstream whose process lives: only a connection that ends without an
+/// answer is a reset. What can't be read may have run all the same.
+#[tokio::test(flavor = "local")]
+async fn an_unreadable_answer_is_an_error_and_a_missing_one_a_reset() {
+    let (upstreams, listener, _) = upstreams(8).await;
+    let long = format!("HTTP/1.1 200 OK\r\nX-Long: {}\r\n\r\n", "y".repeat(64 * 1024));
+    for (answer, outcome) in [
+        ("", Outcome::Reset),
+        ("HTTP/9.9 200 OK\r\nContent-Length: 0\r\n\r\n", Outcome::Error),
+        ("HTTP/1.1 abc OK\r\nContent-Length: 0\r\n\r\n", Outcome::Error),
+        ("HTTP/1.1 200 OK\r\nContent-Length: few\r\n\r\n", Outcome::Error),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nhalf", Outcome::Error),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", Outcome::Error),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", Outcome::Error),
+        (&long, Outcome::Error),
+    ] {
+        let respond = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+            // The balancer may close as soon as it has seen enough.
+            let _ = stream.write_all(answer.as_bytes()).await;
+        };
+        let request = outgoing();
+        let (ended, ()) = tokio::join!(attempt(&upstreams, ID, &request, Instant::now() + LONG), respond);
+        assert_eq!(ended.outcome, outcome, "{:?}", &answer[..answer.len().min(60)]);
+        assert!(ended.served.is_none());
+    }
+}
+
+/// Guards against the moment between an upstream's close and this process's look at it.
+#[tokio::test(flavor = "local")]
+async fn a_connection_that_has_just_been_closed_is_not_written_to() {
+    let (upstreams, listener, _) = upstreams(8).await;
+    for _ in 0..20 {
+        let answer = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+            stream
+        };
+        let request = outgoing();
+        // Without the guard the request goes into the old connection and no new one ever comes.
+        let both = async { tokio::join!(attempt(&upstreams, ID, &request, Instant::now() + LONG), answer) };
+        let (ended, stream) = timeout_at(Instant::now() + LONG, both).await.expect("a new connection");
+        assert_eq!(ended.outcome, Outcome::Ok);
+        // No task runs between this and the next attempt.
+        drop(stream);
+    }
+}
+
+/// Guards against running out of descriptors: an idle connection makes room, and where there is none
+/// the wait ends as not sent, which says nothing of the upstream.
+#[tokio::test(flavor = "local")]
+async fn connections_stay_under_the_limit() {
+    let (upstreams, listener, place) = upstreams(1).await;
+    let other = UpstreamId(8);
+    upstreams.place(other, &place);
+    for id in [ID, other] {
+        let answer = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+            stream
+        };
+        let request = outgoing();
+        let (ended, _stream) = tokio::join!(attempt(&upstreams, id, &request, Instant::now() + LONG), answer);
+        assert_eq!(ended.outcome, Outcome::Ok);
+        assert_eq!(upstreams.open_connections(), 1);
+    }
+    // The only place is in use, by an upstream that never answers.
+    let holder = Rc::clone(&upstreams);
+    let holds = spawn_local(async move { attempt(&holder, ID, &outgoing(), Instant::now() + LONG).await });
+    let (mut stream, _) = listener.accept().await.unwrap();
+    assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+    let ended = attempt(&upstreams, ID, &outgoing(), Instant::now() + Duration::from_millis(50)).await;
+    assert_eq!(ended.outcome, Outcome::NotSent);
+    holds.abort();
+}
