See a client leave behind bytes that it sent after its request

Cause: while an answer is made the HTTP server looks for the end of the connection only as long as nothing more has been read (hyper, mid_message_detect_eof: it waits where the read buffer is not empty). One further byte behind the request hid the client's close, and attempts went on for nobody. Ruled out: the decision module, which calls attempts off as soon as it is told. Change: client_stream.rs reads ahead of the server up to 32 KiB, whoever serves the connection watches it for its end; behind a request that is read whole more than that is thrown away, and the connection ends with its answer. A half-close still counts as leaving, and a request found behind the end is not sent on.

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! `maplehook`: a load balancer on real sockets. Every decision is the `lapisroute` library's; this crate does the
 //! input and output round it, on one thread.
 
+pub mod client_stream;
 pub mod clock;
 pub mod config;
 pub mod connection;
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,5 +1,6 @@
-//! The clients' side: accepts connections, reads requests, writes final answers.
+//! The clients' side: accepts connections, and looks after each from its first byte to its close.
 
+use crate::client_stream::{self, ClientState, ClientWatch};
 use crate::driver::Driver;
 use crate::rate_limited::RateLimitedWarning;
 use crate::request::{READ_TIMEOUT, Rejected, RequestReader, plain, response_of};
@@ -19,21 +20,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-/// How long a connection that is to end may take over the rest of an answer, or of a head it has begun.
-const LINGER: Duration = Duration::from_millis(250);
+/// How long a connection that is to end may take over the rest of a head it has begun.
+const HEAD_GRACE: Duration = Duration::from_millis(250);
+/// How often a full server looks for a connection to close in favour of a new one.
+const PERMIT_RETRY: Duration = Duration::from_millis(250);
 /// Pause after an accept has failed: when descriptors have run out, trying at once only spins.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Size of a connection's buffer, the longest head.
 const BUFFER: usize = 32 * 1024;
 
-/// How far the end of this process has come.
+/// How far the graceful shutdown has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
-    /// Not at all.
+    /// It has not begun.
     Serving,
     /// Not ready any more; connections end with their next answer.
     Draining,
@@ -47,14 +50,17 @@
     requests: RequestReader,
     phase: watch::Receiver<Phase>,
     clients: RefCell<FxHashMap<u64, Rc<Client>>>,
-    count: Cell<u64>,
+    next_client: Cell<u64>,
     accept_warnings: RateLimitedWarning,
 }
 
 /// A client's connection.
 struct Client {
+    state: ClientState,
     /// Since when no request is on it.
     idle_since: Cell<Option<Instant>>,
+    /// A request has come on it before.
+    known: Cell<bool>,
     /// Told when it is to end after the answer in hand, or at once.
     close: Notify,
     /// It has been told.
@@ -69,7 +75,7 @@
             requests: RequestReader::new(site),
             phase,
             clients: RefCell::default(),
-            count: Cell::new(0),
+            next_client: Cell::new(0),
             accept_warnings: RateLimitedWarning::default(),
         })
     }
@@ -77,41 +83,48 @@
     /// Accepts clients, at most `most` at a time, until the process is closing; returns when the last of
     /// them has gone.
     pub async fn run(self: Rc<Self>, listener: TcpListener, most: usize) {
-        let places = Arc::new(Semaphore::new(most));
+        let permits = Arc::new(Semaphore::new(most));
         let mut phase = self.phase.clone();
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 _ = phase.wait_for(|p| *p == Phase::Closing) => break,
             };
-            let stream = match accepted {
-                Ok((stream, _)) => stream,
+            match accepted {
+                Ok((stream, _)) => self.admit(stream, &permits).await,
                 Err(e) => {
                     self.accept_warnings.warn(|| format!("accept: {e}"));
                     sleep(ACCEPT_PAUSE).await;
-                    continue;
                 }
-            };
-            // Again and again: all may be busy now, and keep their connections once they are not.
-            let place = loop {
-                if places.available_permits() == 0 {
-                    self.close_longest_idle();
-                }
-                if let Ok(Ok(place)) = timeout(LINGER, Arc::clone(&places).acquire_owned()).await {
-                    break place;
-                }
-            };
-            let server = Rc::clone(&self);
-            spawn_local(async move {
-                server.connection(stream).await;
-                drop(place);
-            });
+            }
         }
         drop(listener);
-        let _ = places.acquire_many(most as u32).await;
+        let _ = permits.acquire_many(most as u32).await;
     }
 
-    /// Makes a place for a client that waits: one that only keeps its connection can open another.
+    /// Serves a connection as soon as there is a permit for it.
+    async fn admit(self: &Rc<Self>, stream: TcpStream, permits: &Arc<Semaphore>) {
+        let permit = self.permit(permits).await;
+        let server = Rc::clone(self);
+        spawn_local(async move {
+            server.connection(stream).await;
+            drop(permit);
+        });
+    }
+
+    async fn permit(&self, permits: &Arc<Semaphore>) -> OwnedSemaphorePermit {
+        // Again and again: all may be busy now, and keep their connections once they are not.
+        loop {
+            if permits.available_permits() == 0 {
+                self.close_longest_idle();
+            }
+            if let Ok(Ok(permit)) = timeout(PERMIT_RETRY, Arc::clone(permits).acquire_owned()).await {
+                return permit;
+            }
+        }
+    }
+
+    /// Makes room for a client that waits: one that only keeps its connection can open another.
     fn close_longest_idle(&self) {
         let clients = self.clients.borrow();
         let open = clients.values().filter(|c| !c.closing.get());
@@ -125,21 +138,33 @@
     async fn connection(self: Rc<Self>, stream: TcpStream) {
         // An unset option costs time, not truth.
         let _ = stream.set_nodelay(true);
-        let mut phase = self.phase.clone();
-        let number = self.count.replace(self.count.get() + 1);
+        let (stream, mut watch, state) = client_stream::split(stream);
+        let number = self.next_client.replace(self.next_client.get() + 1);
         let client = Rc::new(Client {
+            state,
             idle_since: Cell::new(Some(Instant::now())),
+            known: Cell::new(false),
             close: Notify::new(),
             closing: Cell::new(false),
         });
         self.clients.borrow_mut().insert(number, Rc::clone(&client));
-        let (server, of) = (Rc::clone(&self), Rc::clone(&client));
-        let service = service_fn(move |request| {
-            let (server, client) = (Rc::clone(&server), Rc::clone(&of));
+        self.serve(stream, &mut watch, &client).await;
+        self.clients.borrow_mut().remove(&number);
+    }
+
+    /// Serves requests until the connection is done; the sending has ended then.
+    async fn serve(
+        self: &Rc<Self>,
+        stream: client_stream::ClientStream,
+        watch: &mut ClientWatch,
+        client: &Rc<Client>,
+    ) {
+        let service = service_fn(|request| {
+            let (server, client) = (Rc::clone(self), Rc::clone(client));
             async move {
-                client.idle_since.set(None);
-                let response = server.respond(request).await;
-                client.idle_since.set(Some(Instant::now()));
+                client.begin_request();
+                let response = server.respond(request, &client).await;
+                client.end_request();
                 Ok::<_, Infallible>(response)
             }
         });
@@ -147,64 +172,120 @@
         builder.max_buf_size(BUFFER);
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
-        let close = async {
+        let close = self.close_due(client);
+        tokio::pin!(close);
+        let mut closing = false;
+        loop {
+            // The watch goes first, so that all that has come is with the server when it is told to close.
             tokio::select! {
-                _ = client.close.notified() => (),
-                _ = phase.wait_for(|p| *p == Phase::Closing) => (),
-                () = silent(&client) => (),
-            }
-            // The poller is asked, and the connection looked at, first: a close over a request that has come is
-            // an answer less.
-            yield_now().await;
-        };
-        let ended = tokio::select! {
-            biased;
-            ended = connection.as_mut() => ended,
-            () = close => {
-                connection.as_mut().graceful_shutdown();
-                loop {
-                    match timeout(LINGER, connection.as_mut()).await {
-                        Ok(ended) => break ended,
-                        // Part of a head at most: nothing was taken.
-                        Err(_) if client.idle_since.get().is_some() => break Ok(()),
-                        Err(_) => {}
+                biased;
+                () = left_mid_request(watch, client) => return,
+                ended = connection.as_mut() => {
+                    if let Err(e) = ended {
+                        tracing::debug!("client: {e}");
                     }
+                    return;
                 }
+                () = &mut close, if !closing => {
+                    closing = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+                () = client.is_stuck(), if closing => return,
             }
-        };
-        if let Err(e) = ended {
-            tracing::debug!("client: {e}");
         }
-        self.clients.borrow_mut().remove(&number);
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    /// Waits until a connection is to end with the answer in hand, or at once where there is none.
+    async fn close_due(&self, client: &Client) {
+        let mut phase = self.phase.clone();
+        tokio::select! {
+            () = client.close.notified() => (),
+            _ = phase.wait_for(|p| *p == Phase::Closing) => (),
+            () = client.is_silent() => return,
+        }
+        // The poller is asked, and the connection looked at, first: a close over a request that has come, or
+        // comes just now, is an answer less.
+        yield_now().await;
+        let until = Instant::now() + HEAD_GRACE;
+        while client.idle_since.get().is_some()
+            && client.state.head_since().is_some()
+            && Instant::now() < until
+        {
+            sleep(HEAD_GRACE / 10).await;
+        }
+    }
+
+    async fn respond(&self, request: Request<Incoming>, client: &Client) -> Response<Full<Bytes>> {
         let draining = || *self.phase.borrow() != Phase::Serving;
         let mut response = match request.uri().path() {
             "/health/ready" if draining() => plain(StatusCode::SERVICE_UNAVAILABLE, "draining"),
             "/health/ready" | "/health/live" => plain(StatusCode::OK, "ok"),
             _ => match self.requests.read(request).await {
-                Ok(asked) => response_of(self.driver.ask(asked).answer().await),
+                Ok(_) if client.state.has_left() => plain(StatusCode::BAD_REQUEST, "the client has left"),
+                Ok(asked) => {
+                    client.state.set_answering(true);
+                    response_of(self.driver.ask(asked).answer().await)
+                }
                 Err(Rejected(status, why)) => plain(status, why),
             },
         };
-        if draining() {
+        if draining() || client.state.is_flooded() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
     }
 }
 
-/// Waits until no request has begun on a connection for the time that a head may take.
-async fn silent(client: &Client) {
-    loop {
+impl Client {
+    fn begin_request(&self) {
+        self.idle_since.set(None);
+        self.known.set(true);
+    }
+
+    fn end_request(&self) {
+        self.idle_since.set(Some(Instant::now()));
+        self.state.set_answering(false);
+    }
+
+    /// Until when a request has to begin on it.
+    fn silent_until(&self) -> Instant {
         // With a request on it, it is looked at again later.
-        let since = client.idle_since.get().unwrap_or_else(Instant::now);
-        sleep_until(since + READ_TIMEOUT).await;
-        // What has come by now counts, however late this process looks.
-        yield_now().await;
-        if client.idle_since.get().is_some_and(|since| since.elapsed() >= READ_TIMEOUT) {
-            return;
+        let idle = self.idle_since.get().unwrap_or_else(Instant::now);
+        // Whoever has sent a request before may take as long over the next one from its first byte on.
+        let head = self.state.head_since().filter(|_| self.known.get());
+        head.map_or(idle, |head| idle.max(head)) + READ_TIMEOUT
+    }
+
+    /// Waits until no request has begun for the time that a head may take. Not by the server's own timer, which after
+    /// a stop of the process fires before anybody has looked at what has come.
+    async fn is_silent(&self) {
+        loop {
+            sleep_until(self.silent_until()).await;
+            // What has come by now counts, however late this process looks.
+            yield_now().await;
+            if self.idle_since.get().is_some() && Instant::now() >= self.silent_until() {
+                return;
+            }
+        }
+    }
+
+    /// Waits until a connection that is told to end holds nothing that is owed: part of a head at most.
+    async fn is_stuck(&self) {
+        loop {
+            sleep(HEAD_GRACE).await;
+            if self.idle_since.get().is_some() {
+                return;
+            }
         }
     }
 }
+
+/// Waits until the client leaves over a request that it still waits for.
+async fn left_mid_request(watch: &mut ClientWatch, client: &Client) {
+    watch.left().await;
+    // Without a request in hand the server itself comes to the end of what was sent. It is polled behind this in
+    // the same task, and a request that it takes up then is turned away.
+    if client.idle_since.get().is_some() {
+        std::future::pending::<()>().await;
+    }
+}
--- /dev/null
+++ b/node/tests/crossing_clients.rs
@@ -0,0 +1,80 @@
+//! Clients that leave, flood, or take their answers slowly, in the moment in which something else happens.
+
+mod common;
+
+use common::*;
+use std::io::Write;
+
+const ERROR: &str = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n";
+
+/// How a client goes away.
+#[derive(Clone, Copy, Debug)]
+enum Leaves {
+    Closes,
+    Resets,
+    EndsItsSending,
+}
+
+/// Guards against work for nobody: however a client leaves, and whatever of it waits unread behind its request, its
+/// attempt is called off at once and no further one begins.
+#[test]
+fn a_client_that_leaves_is_seen_to_leave() {
+    for leaves in [Leaves::Closes, Leaves::Resets, Leaves::EndsItsSending] {
+        for behind in [0, 1, 300, 40_000, 400_000] {
+            let (address, streams) = raw_peer();
+            let node = Setup::with(&[address, address]).start();
+            let mut client = node.connect();
+            client.write(&look(8000));
+            let upstream = streams.recv_timeout(LONG).expect("an attempt");
+            assert!(next_request(&upstream).is_some());
+            client.write_if_taken(&vec![b'x'; behind]);
+            node.round_trip();
+            match leaves {
+                Leaves::Closes => drop(client),
+                Leaves::Resets => client.reset(),
+                Leaves::EndsItsSending => client.end_sending(),
+            }
+            upstream.set_read_timeout(Some(LONG)).unwrap();
+            assert!(
+                next_request(&upstream).is_none(),
+                "{leaves:?} with {behind} bytes behind: not called off"
+            );
+            // Had it been taken for an error of the upstream's, the next attempt would go out now.
+            let _ = (&upstream).write_all(ERROR.as_bytes());
+            node.round_trip();
+            let further = streams.try_iter().count();
+            assert_eq!(further, 0, "{leaves:?} with {behind} bytes behind: attempts after it had left");
+        }
+    }
+}
+
+/// Guards the balancer against those who send what is no request, much of it or little: each gets an error or a
+/// close, none reaches an upstream, and a good request beside them is served.
+#[test]
+fn bad_clients_get_an_error_and_take_nobody_along() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let mut node = Setup::with(&[upstream.address]).start();
+    let long_head = format!("GET /look HTTP/1.1\r\nX-Long: {}\r\n\r\n", "y".repeat(64 * 1024));
+    let long_body = book(8000, &"y".repeat(200_000));
+    let endless = book(8000, "").replace("Content-Length: 0", "Transfer-Encoding: chunked") + "fffff\r\n";
+    let endless = endless + &"y".repeat(150_000);
+    for (text, errors) in [
+        ("\0\0\0\0\r\n\r\n", 400..=400),
+        ("GET\r\n\r\n", 400..=400),
+        ("GET /look HTTP/7.0\r\n\r\n", 400..=505),
+        ("GET /look HTTP/1.1\r\nContent-Length: many\r\n\r\n", 400..=400),
+        (&long_head, 400..=431),
+        (&long_body, 413..=413),
+        (&endless, 413..=413),
+    ] {
+        let mut client = node.connect();
+        client.write_if_taken(text.as_bytes());
+        let answer =
+            client.answer().unwrap_or_else(|| panic!("an error for {:?}", &text[..text.len().min(60)]));
+        assert!(errors.contains(&answer.status()), "{answer:?} for {:?}", &text[..text.len().min(60)]);
+        assert!(client.is_open_no_more());
+    }
+    assert!(upstream.seen().is_empty());
+    assert_eq!(node.connect().exchange(&look(5000)).status(), 200);
+    assert!(node.runs());
+}
