Read to the end before a client's connection is closed after its last answer

Cause: a close over unread bytes resets the connection, and what of the answer the system has not sent yet is thrown away with it; the server closed without looking for bytes behind the request (server.rs, connection).

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -26,6 +26,10 @@
 
 /// How long a connection that is to end may take over the rest of a head it has begun.
 const HEAD_GRACE: Duration = Duration::from_millis(250);
+/// How long what a client still sends is read and thrown away after the last answer, and how soon after that answer
+/// the connection must end for it to be in danger.
+const LINGER: Duration = Duration::from_millis(150);
+const LINGER_AFTER: Duration = Duration::from_millis(500);
 /// How often a full server looks for a connection to close in favour of a new one.
 const PERMIT_RETRY: Duration = Duration::from_millis(250);
 /// Pause after an accept has failed: when descriptors have run out, trying at once only spins.
@@ -150,6 +154,9 @@
         self.clients.borrow_mut().insert(number, Rc::clone(&client));
         self.serve(stream, &mut watch, &client).await;
         self.clients.borrow_mut().remove(&number);
+        if client.has_just_been_answered() {
+            watch.discard_rest(LINGER).await;
+        }
     }
 
     /// Serves requests until the connection is done; the sending has ended then.
@@ -247,6 +254,12 @@
         self.state.set_answering(false);
     }
 
+    /// Whether an answer has left so lately that a reset of the connection could overtake it.
+    fn has_just_been_answered(&self) -> bool {
+        let since = self.idle_since.get().filter(|_| self.known.get() || self.state.head_since().is_some());
+        since.is_some_and(|since| since.elapsed() < LINGER_AFTER)
+    }
+
     /// Until when a request has to begin on it.
     fn silent_until(&self) -> Instant {
         // With a request on it, it is looked at again later.
--- a/node/tests/crossing_clients.rs
+++ b/node/tests/crossing_clients.rs
@@ -48,6 +48,28 @@
     }
 }
 
+/// Guards against a reset that takes an answer with it: what came behind the request is read before the close.
+#[test]
+fn an_answer_is_whole_though_bytes_came_behind_the_request() {
+    let (address, streams) = raw_peer();
+    let node = Setup::with(&[address]).start();
+    let mut client = Client::narrow(node.address);
+    client.write(&look(8000).replace("Host", "Connection: close\r\nHost"));
+    let upstream = streams.recv_timeout(LONG).expect("an attempt");
+    assert!(next_request(&upstream).is_some());
+    // The first of these may be read ahead with the request; the second is not, unless somebody takes care to.
+    for _ in 0..2 {
+        client.write("GET /look HTTP/1.1\r\nHost");
+        node.round_trip();
+    }
+    let body = "y".repeat(60_000);
+    write!(&upstream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).unwrap();
+    until("the answer begins", || client.has_bytes());
+    node.round_trip();
+    let answer = client.answer().expect("the whole answer");
+    assert_eq!((answer.status(), answer.body.len()), (200, 60_000));
+}
+
 /// Guards the balancer against those who send what is no request, much of it or little: each gets an error or a
 /// close, none reaches an upstream, and a good request beside them is served.
 #[test]
