Do not take a client that is slow to take its answer for an idle one

Cause: a connection counted as idle from the moment its answer was handed to the server, also while the system took no more of it; the limit for idle clients, a full server and the closing phase then cut the answer short (server.rs, Err(_) if idle_since.is_some()). Change: a stream whose write is blocked is not idle, is not chosen to make room, and is closed upon only after 10 s in which the client took nothing. Measured: the new test, with small buffers on both sides and a paused clock, fails without it with 'cut short after 4096 bytes'. On the system's own buffers, which hold a whole answer, the crossing could not be forced.

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -32,6 +32,10 @@
 const LINGER_AFTER: Duration = Duration::from_millis(500);
 /// How often a full server looks for a connection to close in favour of a new one.
 const PERMIT_RETRY: Duration = Duration::from_millis(250);
+/// A client that takes no byte of its answer for so long is closed upon.
+const WRITE_STALL_MOST: Duration = Duration::from_secs(10);
+/// How often a connection is looked at whose answer is not taken.
+const WRITE_CHECK_EVERY: Duration = Duration::from_millis(250);
 /// Pause after an accept has failed: when descriptors have run out, trying at once only spins.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Size of a connection's buffer, the longest head.
@@ -132,6 +136,7 @@
     fn close_longest_idle(&self) {
         let clients = self.clients.borrow();
         let open = clients.values().filter(|c| !c.closing.get());
+        let open = open.filter(|c| c.state.write_blocked_since().is_none());
         let idle = open.filter_map(|c| c.idle_since.get().map(|since| (since, c)));
         if let Some((_, client)) = idle.min_by_key(|(since, _)| *since) {
             client.closing.set(true);
@@ -269,24 +274,42 @@
         head.map_or(idle, |head| idle.max(head)) + READ_TIMEOUT
     }
 
-    /// Waits until no request has begun for the time that a head may take. Not by the server's own timer, which after
-    /// a stop of the process fires before anybody has looked at what has come.
+    /// Waits until no request has begun for the time that a head may take, and no answer waits to be taken. Not by
+    /// the server's own timer, which after a stop of the process fires before anybody has looked at what has come.
     async fn is_silent(&self) {
         loop {
             sleep_until(self.silent_until()).await;
             // What has come by now counts, however late this process looks.
             yield_now().await;
+            if self.state.write_blocked_since().is_some() && !self.write_ends().await {
+                return;
+            }
             if self.idle_since.get().is_some() && Instant::now() >= self.silent_until() {
                 return;
             }
         }
     }
 
+    /// Waits until an answer that the client is slow to take has left; `false` if it takes nothing for too long.
+    async fn write_ends(&self) -> bool {
+        while let Some(since) = self.state.write_blocked_since() {
+            if since.elapsed() >= WRITE_STALL_MOST {
+                return false;
+            }
+            sleep(WRITE_CHECK_EVERY).await;
+        }
+        if self.idle_since.get().is_some() {
+            self.idle_since.set(Some(Instant::now()));
+        }
+        true
+    }
+
     /// Waits until a connection that is told to end holds nothing that is owed: part of a head at most.
     async fn is_stuck(&self) {
         loop {
             sleep(HEAD_GRACE).await;
-            if self.idle_since.get().is_some() {
+            let taken = self.state.write_blocked_since().is_none() || self.write_ends().await;
+            if !taken || self.idle_since.get().is_some() {
                 return;
             }
         }
