Drop attempts that have not begun once their request is over, whatever may be cancelled

Cause: the module calls attempts off only where the settings allow attempts to be cancelled. Where they do not, an attempt that still waited for a connection went out after its client had left, or after another copy had answered (driver.rs, RequestGone without Cancel). Change: an attempt says when its first byte is about to be written; until then the driver drops it with its request, as not sent.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -306,18 +306,20 @@
         let give_up = timeout.map_or(held.asked.deadline, |t| held.asked.deadline.min(sent + t));
         let (driver, asked) = (Rc::clone(self), Rc::clone(&held.asked));
         let mut force_close = self.force_close.subscribe();
+        let begun = Rc::new(Cell::new(false));
+        let begins = Rc::clone(&begun);
         let task = spawn_local(async move {
             let ended = if *force_close.borrow() {
                 Outcome::NotSent.into()
             } else {
                 tokio::select! {
-                    ended = driver.upstreams.attempt(upstream, &asked.outgoing, give_up) => ended,
+                    ended = driver.upstreams.attempt(upstream, &asked.outgoing, give_up, &begins) => ended,
                     _ = force_close.wait_for(|cut| *cut) => Outcome::TimedOut.into(),
                 }
             };
             driver.happened(Queued::AttemptEnded(id, no, ended));
         });
-        held.attempts.push(Attempt { upstream, sent, task: task.abort_handle(), out: true });
+        held.attempts.push(Attempt { upstream, sent, task: task.abort_handle(), begun, out: true });
     }
 
     /// Gives a request its final answer, which is not an upstream's.
@@ -331,9 +333,16 @@
         self.forget_if_over(core, id);
     }
 
-    /// Lets go of a request that has its answer and no attempt out.
+    /// Lets go of a request that has its answer and no attempt out. Attempts that have not begun are dropped, also
+    /// where the site allows none to be cancelled: nobody waits for them, and nothing of them has left.
     fn forget_if_over(&self, core: &mut Core, id: RequestId) {
-        let over = |held: &Held| held.reply.is_none() && held.attempts.iter().all(|a| !a.out);
+        let Some(held) = core.requests.get(&id).filter(|held| held.reply.is_none()) else { return };
+        for (no, attempt) in held.attempts.iter().enumerate().filter(|(_, a)| a.out && !a.begun.get()) {
+            attempt.task.abort();
+            let dropped = Queued::AttemptEnded(id, AttemptNo(no as u8), Outcome::NotSent.into());
+            self.queue.borrow_mut().push_back(dropped);
+        }
+        let over = |held: &Held| held.attempts.iter().all(|a| !a.out);
         if core.requests.get(&id).is_some_and(over) {
             core.requests.remove(&id);
         }
--- a/node/src/in_flight.rs
+++ b/node/src/in_flight.rs
@@ -3,6 +3,7 @@
 use crate::exchange::Outgoing;
 use crate::upstream::Served;
 use lapisroute::{ClassId, TenantId, UpstreamId};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -41,6 +42,8 @@
     pub(crate) upstream: UpstreamId,
     pub(crate) sent: Instant,
     pub(crate) task: AbortHandle,
+    /// Something of it may have been written.
+    pub(crate) begun: Rc<Cell<bool>>,
     pub(crate) out: bool,
 }
 
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -241,11 +241,19 @@
         }
     }
 
-    /// Sends a request to an upstream and waits for the answer until `give_up`.
-    pub async fn attempt(&self, id: UpstreamId, outgoing: &Outgoing, give_up: Instant) -> Ended {
+    /// Sends a request to an upstream and waits for the answer until `give_up`. `begun` is set before the first byte
+    /// is written; until then the attempt can be dropped as though it had never been decided on.
+    pub async fn attempt(
+        &self,
+        id: UpstreamId,
+        outgoing: &Outgoing,
+        give_up: Instant,
+        begun: &Cell<bool>,
+    ) -> Ended {
         let upstream = self.known.borrow().get(&id).map(Rc::clone);
         let Some(upstream) = upstream else { return Outcome::NotSent.into() };
         loop {
+            begun.set(false);
             let (mut connection, reused) = match self.connection(&upstream, give_up).await {
                 Ok(got) => got,
                 Err(outcome) => return outcome.into(),
@@ -256,6 +264,7 @@
                 upstream.put_back(connection);
                 return Outcome::NotSent.into();
             }
+            begun.set(true);
             let request = outgoing.request(left);
             let (before, length) = (connection.written(), wire_length(&request));
             let exchanged = timeout_at(give_up, exchange(&mut connection, request)).await;
@@ -292,7 +301,7 @@
         let mut headers = HeaderMap::with_capacity(3);
         headers.insert(HOST, HeaderValue::from_static("upstream"));
         let outgoing = Outgoing { method: Method::GET, target, headers, body: Bytes::new() };
-        let mut ended = self.attempt(id, &outgoing, Instant::now() + PROBE_TIMEOUT).await;
+        let mut ended = self.attempt(id, &outgoing, Instant::now() + PROBE_TIMEOUT, &Cell::new(false)).await;
         if let Some(served) = &ended.served
             && self.reports != Reports::Off
             && ended.report.is_empty()
--- a/node/tests/crossing_clients.rs
+++ b/node/tests/crossing_clients.rs
@@ -48,6 +48,35 @@
     }
 }
 
+/// Guards against an attempt for a client that left while it waited for a connection, where the site allows no
+/// attempt to be cancelled: nothing of it had left.
+#[test]
+fn an_attempt_that_waits_for_a_connection_is_dropped_with_its_client() {
+    let (address, streams) = raw_peer();
+    let mut setup = Setup::with(&[address]);
+    (setup.sockets, setup.cancelling) = (64, false);
+    let node = setup.start();
+    // Of 64 descriptors 24 are reserved, and of the rest 18 are for upstreams.
+    let mut holders: Vec<Client> = (0..18).map(|_| node.connect()).collect();
+    holders.iter_mut().for_each(|client| client.write(&look(8000)));
+    let held: Vec<_> = (0..18).map(|_| streams.recv_timeout(LONG).expect("an attempt")).collect();
+    let mut leaver = node.connect();
+    leaver.write(&look(8000).replace("77aa", "left"));
+    node.round_trip();
+    drop(leaver);
+    node.round_trip();
+    let mut stayer = node.connect();
+    stayer.write(&look(8000).replace("77aa", "stays"));
+    node.round_trip();
+    for stream in held {
+        assert!(next_request(&stream).is_some());
+        (&stream).write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n").unwrap();
+    }
+    let next = streams.recv_timeout(LONG).expect("a connection that was waited for");
+    let request = next_request(&next).expect("a request");
+    assert_eq!(request.header("x-correlation-id"), Some("stays"), "{request:?}");
+}
+
 /// Guards against a reset that takes an answer with it: what came behind the request is read before the close.
 #[test]
 fn an_answer_is_whole_though_bytes_came_behind_the_request() {
--- a/node/tests/upstreams.rs
+++ b/node/tests/upstreams.rs
@@ -6,6 +6,7 @@
 use lapisroute::{Availability, Outcome, Settings, UpstreamId};
 use maplehook::exchange::Outgoing;
 use maplehook::upstream::{Ended, Place, Upstreams};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -36,7 +37,7 @@
 }
 
 async fn attempt(upstreams: &Upstreams, id: UpstreamId, outgoing: &Outgoing, give_up: Instant) -> Ended {
-    upstreams.attempt(id, outgoing, give_up).await
+    upstreams.attempt(id, outgoing, give_up, &Cell::new(false)).await
 }
 
 /// Guards the drain rule where an attempt was decided on before the news and has no connection yet.
