Accept what waits in the listener's queue before the listener is closed

Cause: the loop that accepts left at the closing phase without another look, and closing the listener resets what the system had accepted meanwhile, request and all; with all places taken such connections wait there for long (server.rs, run). Change: they are accepted first and served like any other. Measured: the new test, with all places taken and four more clients behind them, failed before with 'client 24 was closed upon without an answer'. Held before, and now forced: requests on resting connections at the close, half a request at the end, an end in the first moments.

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -106,6 +106,10 @@
                 }
             }
         }
+        // The system has taken these connections already: a request on one of them is owed its answer.
+        while let Some(stream) = accept_waiting(&listener).await {
+            self.admit(stream, &permits).await;
+        }
         drop(listener);
         let _ = permits.acquire_many(most as u32).await;
     }
@@ -325,3 +329,12 @@
         std::future::pending::<()>().await;
     }
 }
+
+/// A connection that waits to be accepted, if there is one.
+async fn accept_waiting(listener: &TcpListener) -> Option<TcpStream> {
+    tokio::select! {
+        biased;
+        accepted = listener.accept() => accepted.ok().map(|(stream, _)| stream),
+        () = yield_now() => None,
+    }
+}
