--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -12,9 +12,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
 /// After SIGTERM the front goes on dealing out new connections for 0.4 s at most.
@@ -56,17 +56,38 @@
     if let Some(members) = &members {
         members.leave();
     }
+    tokio::select! {
+        () = drain(&config, &driver, &phase, &mut accepting) => (),
+        // Discovery may move while what is held is still being answered.
+        () = reload_on(&mut hangup, &driver) => (),
+    }
+    Ok(())
+}
+
+/// The graceful shutdown: ends connections with their answers, then all of them, then what is still held.
+async fn drain(
+    config: &Config,
+    driver: &Rc<Driver>,
+    phase: &watch::Sender<Phase>,
+    accepting: &mut JoinHandle<()>,
+) {
     phase.send_replace(Phase::Draining);
     sleep(ACCEPT_AFTER_TERM).await;
     phase.send_replace(Phase::Closing);
     let deadlines = config.site.settings.classes.iter().map(|class| class.deadline);
     let longest = deadlines.max().unwrap_or_default().min(KILL_DEADLINE_MOST);
     let rest = (longest + KILL_AFTER_DEADLINE).saturating_sub(ACCEPT_AFTER_TERM + LAST_ANSWERS);
-    if timeout(rest, &mut accepting).await.is_err() {
+    if timeout(rest, &mut *accepting).await.is_err() {
         driver.force_close();
-        let _ = timeout(LAST_ANSWERS, &mut accepting).await;
+        let _ = timeout(LAST_ANSWERS, accepting).await;
     }
-    Ok(())
+}
+
+async fn reload_on(hangup: &mut Signal, driver: &Rc<Driver>) {
+    while hangup.recv().await.is_some() {
+        reload(driver);
+    }
+    std::future::pending().await
 }
 
 /// Takes in the configuration file anew: discovery may have moved. The rest of it holds for a process's life.
--- a/node/tests/crossing_shutdown.rs
+++ b/node/tests/crossing_shutdown.rs
@@ -91,6 +91,33 @@
     assert_eq!(upstream.seen().len(), 2);
 }
 
+/// Guards against a second signal that undoes the first, and against a list that is old because discovery moved
+/// after the end had begun.
+#[test]
+fn further_signals_do_not_cut_the_end_short_and_a_move_of_discovery_is_followed() {
+    let (slow, streams) = raw_peer();
+    let ((before, calls), (after, calls_after)) = (discovery(), discovery());
+    let mut setup = Setup::with(&[slow]);
+    (setup.discovery, setup.asks, setup.deadline_ms) = (before, true, 3000);
+    let mut node = setup.start();
+    let (_, watch) = calls.recv_timeout(LONG).expect("a watch");
+    tell(&watch, "");
+    let mut client = node.connect();
+    client.write(&book(3000, "x"));
+    let upstream = streams.recv_timeout(LONG).expect("an attempt");
+    assert!(next_request(&upstream).is_some());
+    node.terminate();
+    until_draining(&node);
+    node.terminate();
+    setup.discovery = after;
+    node.reload(&setup.text());
+    let moved = calls_after.recv_timeout(Duration::from_secs(2));
+    assert!(moved.is_ok(), "no watch at the new address: {moved:?}");
+    std::io::Write::write_all(&mut (&upstream), OK.as_bytes()).unwrap();
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    assert!(node.wait().success());
+}
+
 /// Guards the first moments: a balancer told to end as soon as it serves answers what it took, with discovery down.
 #[test]
 fn an_end_in_the_first_moments_answers_what_was_taken() {
