Keep no connection to the process before a restart, and take no answer for one before it was asked

Cause: two crossings on connections to upstreams (upstream.rs). An upstream listed with a new start while an answer of the old process was under way had that connection put back for reuse, and the next request could end on it as a reset. And a 200 that came before its request's last byte was passed on, though an upstream starts with that byte: it can only belong to something else. Change: a connection is kept only if it leads to the process that is listed; such an answer counts as a connection that failed, which never ran. The idle connections and the bound on open ones go to pool.rs. Measured: without the two mends the new tests fail with 'the connection to the old process is kept' and Ok in place of ConnectFailed. Held before, and now forced: answers without a length or an end, resets, bytes at rest, connections that come up too late, the time told by further attempts.

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod headers;
 pub mod in_flight;
 pub mod members;
+pub mod pool;
 pub mod process;
 pub mod rate_limited;
 pub mod request;
--- /dev/null
+++ b/node/src/pool.rs
@@ -0,0 +1,90 @@
+//! Connections to upstreams that are kept for reuse, and the bound on all that are open.
+
+use crate::connection::Connection;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// The idle connections to one upstream.
+#[derive(Default)]
+pub struct IdlePool {
+    /// The most recently used last, and since when each is idle.
+    idle: RefCell<Vec<(Connection, Instant)>>,
+}
+
+impl IdlePool {
+    /// Keeps a connection that is between requests.
+    pub fn put(&self, connection: Connection) {
+        self.idle.borrow_mut().push((connection, Instant::now()));
+    }
+
+    /// The most recently used one, unless it has been idle for `idle_most` or longer.
+    pub fn take(&self, idle_most: Duration) -> Option<Connection> {
+        let (connection, since) = self.idle.borrow_mut().pop()?;
+        (since.elapsed() < idle_most).then_some(connection)
+    }
+
+    /// The one that has been idle for the longest.
+    pub fn take_oldest(&self) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        (!idle.is_empty()).then(|| idle.remove(0).0)
+    }
+
+    /// Closes those that have ended, or have been idle for `idle_most` or longer.
+    pub fn sweep(&self, idle_most: Duration) {
+        self.idle
+            .borrow_mut()
+            .retain(|(connection, since)| !connection.is_closed() && since.elapsed() < idle_most);
+    }
+
+    /// Closes all.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+}
+
+/// The bound on connections open to all upstreams together.
+pub struct OpenLimit {
+    most: usize,
+    open: Cell<usize>,
+    freed: Notify,
+}
+
+/// A permit for one of them, given back when its descriptor is closed.
+pub struct OpenPermit(Rc<OpenLimit>);
+
+impl OpenLimit {
+    /// At most `most` at a time.
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(Self { most, open: Cell::new(0), freed: Notify::new() })
+    }
+
+    /// Connections open now.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Whether no further one may be opened now.
+    pub fn is_full(&self) -> bool {
+        self.open.get() >= self.most
+    }
+
+    /// A permit for one more, as soon as there is one; `make_room` is asked to close an idle one until then.
+    pub async fn permit(self: &Rc<Self>, make_room: impl Fn()) -> OpenPermit {
+        while self.is_full() {
+            make_room();
+            self.freed.notified().await;
+        }
+        self.open.set(self.open.get() + 1);
+        OpenPermit(Rc::clone(self))
+    }
+}
+
+impl Drop for OpenPermit {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+        self.0.freed.notify_one();
+    }
+}
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -6,10 +6,12 @@
 use crate::connection::{Connection, wire_length};
 use crate::exchange::{ExchangeError, Outgoing, exchange};
 use crate::headers::{self, LOAD, UNPROCESSED};
+use crate::pool::{IdlePool, OpenLimit};
 use crate::rate_limited::RateLimitedWarning;
 use bytes::Bytes;
+use http_body_util::Full;
 use hyper::header::{HOST, HeaderMap, HeaderValue};
-use hyper::{Method, Response, StatusCode, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use lapisroute::{Availability, LoadField, Outcome, Reports, Settings, UpstreamId};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -17,7 +19,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Notify;
 use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
 
@@ -71,40 +72,48 @@
     boot_ms: Cell<u64>,
     /// Cleared once it drains or is gone: attempts that still wait for a connection look here.
     ready: Cell<bool>,
-    /// Idle connections, the most recently used last, and since when.
-    idle: RefCell<Vec<(Connection, Instant)>>,
+    idle: IdlePool,
 }
 
 impl Upstream {
-    fn put_back(&self, connection: Connection) {
-        if self.ready.get() && self.endpoint.get() == Some(connection.peer()) && !connection.is_closed() {
-            self.idle.borrow_mut().push((connection, Instant::now()));
+    fn new(boot_ms: u64) -> Self {
+        Self {
+            endpoint: Cell::new(None),
+            boot_ms: Cell::new(boot_ms),
+            ready: Cell::new(false),
+            idle: IdlePool::default(),
         }
     }
-}
-
-/// Connections open to all upstreams together.
-#[derive(Default)]
-struct Open {
-    count: Cell<usize>,
-    freed: Notify,
-}
 
-/// One of them, until its descriptor is closed.
-struct Slot(Rc<Open>);
+    /// Nothing new goes there any more.
+    fn retire(&self) {
+        self.ready.set(false);
+        self.idle.clear();
+    }
 
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.0.count.set(self.0.count.get() - 1);
-        self.0.freed.notify_one();
+    /// Keeps a connection for reuse where it still leads to the process that is listed, which wants requests.
+    fn put_back(&self, used: Used) {
+        let Used { connection, boot_ms, .. } = used;
+        let same = self.boot_ms.get() == boot_ms && self.endpoint.get() == Some(connection.peer());
+        if self.ready.get() && same && !connection.is_closed() {
+            self.idle.put(connection);
+        }
     }
 }
 
+/// A connection in use.
+struct Used {
+    connection: Connection,
+    /// It has carried a request before.
+    reused: bool,
+    /// The start of the process that it leads to, as listed.
+    boot_ms: u64,
+}
+
 /// All upstreams known.
 pub struct Upstreams {
     known: RefCell<FxHashMap<UpstreamId, Rc<Upstream>>>,
-    open: Rc<Open>,
-    most_open: usize,
+    open: Rc<OpenLimit>,
     connect_timeout: Duration,
     idle_most: Duration,
     reports: Reports,
@@ -118,8 +127,7 @@
     pub fn new(settings: &Settings, most_open: usize) -> Self {
         Self {
             known: RefCell::default(),
-            open: Rc::default(),
-            most_open,
+            open: OpenLimit::new(most_open),
             connect_timeout: settings.connect_timeout,
             idle_most: settings.conn_idle.mul_f64(IDLE_SHARE),
             reports: settings.reports,
@@ -134,19 +142,11 @@
         let mut known = self.known.borrow_mut();
         if place.availability == Availability::Gone {
             if let Some(upstream) = known.remove(&id) {
-                upstream.ready.set(false);
-                upstream.idle.borrow_mut().clear();
+                upstream.retire();
             }
             return;
         }
-        let upstream = known.entry(id).or_insert_with(|| {
-            Rc::new(Upstream {
-                endpoint: Cell::new(None),
-                boot_ms: Cell::new(place.boot_ms),
-                ready: Cell::new(false),
-                idle: RefCell::default(),
-            })
-        });
+        let upstream = known.entry(id).or_insert_with(|| Rc::new(Upstream::new(place.boot_ms)));
         let moved = place.endpoint.is_some() && upstream.endpoint.get() != place.endpoint;
         if moved {
             upstream.endpoint.set(place.endpoint);
@@ -154,7 +154,7 @@
         upstream.ready.set(place.availability == Availability::Ready);
         // Connections to a process that is no more, or wants nothing new, serve nobody.
         if upstream.boot_ms.replace(place.boot_ms) != place.boot_ms || moved || !upstream.ready.get() {
-            upstream.idle.borrow_mut().clear();
+            upstream.idle.clear();
         }
     }
 
@@ -163,8 +163,7 @@
         self.known.borrow_mut().retain(|id, upstream| {
             let stays = listed(*id);
             if !stays {
-                upstream.ready.set(false);
-                upstream.idle.borrow_mut().clear();
+                upstream.retire();
             }
             stays
         });
@@ -173,7 +172,7 @@
     /// Closes the idle connections to one.
     pub fn close_idle(&self, id: UpstreamId) {
         if let Some(upstream) = self.known.borrow().get(&id) {
-            upstream.idle.borrow_mut().clear();
+            upstream.idle.clear();
         }
     }
 
@@ -181,56 +180,42 @@
     pub async fn sweep(&self) {
         loop {
             tokio::time::sleep(SWEEP_EVERY).await;
-            let now = Instant::now();
             for upstream in self.known.borrow().values() {
-                let mut idle = upstream.idle.borrow_mut();
-                idle.retain(|(connection, since)| !connection.is_closed() && now - *since < self.idle_most);
+                upstream.idle.sweep(self.idle_most);
             }
         }
     }
 
     /// Connections open now, to all of them together.
     pub fn open_connections(&self) -> usize {
-        self.open.count.get()
+        self.open.open()
     }
 
     fn close_an_idle_one(&self) {
         let known = self.known.borrow();
-        let mut idle = known.values().map(|u| u.idle.borrow_mut());
-        if let Some(mut idle) = idle.find(|idle| !idle.is_empty()) {
-            idle.remove(0);
-        }
+        known.values().find_map(|upstream| upstream.idle.take_oldest());
     }
 
-    /// Room for one more connection, made by closing an idle one if need be.
-    async fn slot(&self) -> Slot {
-        while self.open.count.get() >= self.most_open {
-            self.close_an_idle_one();
-            self.open.freed.notified().await;
+    /// A connection in use before, or else a new one.
+    async fn connection(&self, upstream: &Upstream, give_up: Instant) -> Result<Used, Outcome> {
+        let boot_ms = upstream.boot_ms.get();
+        while let Some(mut connection) = upstream.idle.take(self.idle_most) {
+            if timeout_at(give_up, connection.is_usable()).await == Ok(true) {
+                return Ok(Used { connection, reused: true, boot_ms });
+            }
         }
-        self.open.count.set(self.open.count.get() + 1);
-        Slot(Rc::clone(&self.open))
+        let connection = self.connect(upstream, give_up).await?;
+        Ok(Used { connection, reused: false, boot_ms })
     }
 
-    /// A connection in use before, or else a new one; `true`: in use before.
-    async fn connection(&self, upstream: &Upstream, give_up: Instant) -> Result<(Connection, bool), Outcome> {
-        loop {
-            // Not an `if let`: the borrow must not be held while waiting.
-            let idle = upstream.idle.borrow_mut().pop();
-            let Some((mut connection, since)) = idle else { break };
-            // An end that the kernel knows of and nobody has looked at yet: the poller is asked first. Written
-            // to, such a connection would end as a reset, which an unsafe request does not survive.
-            yield_now().await;
-            if since.elapsed() < self.idle_most && connection.is_usable().await {
-                return Ok((connection, true));
-            }
-        }
+    async fn connect(&self, upstream: &Upstream, give_up: Instant) -> Result<Connection, Outcome> {
         let Some(endpoint) = upstream.endpoint.get() else { return Err(Outcome::NotSent) };
         let until = give_up.min(Instant::now() + self.connect_timeout);
         // Out of descriptors or of time says nothing of the upstream.
-        let Ok(slot) = timeout_at(until, self.slot()).await else { return Err(Outcome::NotSent) };
-        match timeout_at(until, Connection::open(endpoint, slot)).await {
-            Ok(Ok(connection)) => Ok((connection, false)),
+        let permit = timeout_at(until, self.open.permit(|| self.close_an_idle_one())).await;
+        let Ok(permit) = permit else { return Err(Outcome::NotSent) };
+        match timeout_at(until, Connection::open(endpoint, permit)).await {
+            Ok(Ok(connection)) => Ok(connection),
             Ok(Err(e)) if out_of_descriptors(&e) => Err(Outcome::NotSent),
             Ok(Err(e)) => {
                 tracing::debug!(%endpoint, "no connection: {e}");
@@ -254,47 +239,69 @@
         let Some(upstream) = upstream else { return Outcome::NotSent.into() };
         loop {
             begun.set(false);
-            let (mut connection, reused) = match self.connection(&upstream, give_up).await {
-                Ok(got) => got,
+            // What the kernel knows and nobody has looked at yet comes first: an idle connection that has ended,
+            // on which a request would end as a reset, or a client that has left.
+            yield_now().await;
+            let used = match self.connection(&upstream, give_up).await {
+                Ok(used) => used,
                 Err(outcome) => return outcome.into(),
             };
             let left = give_up.saturating_duration_since(Instant::now());
             // The moment of writing: it may have begun to drain while the connection was made.
             if !upstream.ready.get() || left.is_zero() {
-                upstream.put_back(connection);
+                upstream.put_back(used);
                 return Outcome::NotSent.into();
             }
             begun.set(true);
-            let request = outgoing.request(left);
-            let (before, length) = (connection.written(), wire_length(&request));
-            let exchanged = timeout_at(give_up, exchange(&mut connection, request)).await;
-            let written = connection.written() - before;
-            match exchanged {
-                Ok(Ok(response)) => {
-                    // An answer that came before the request had left whole leaves the rest in the way.
-                    if written >= length {
-                        upstream.put_back(connection);
-                    }
-                    return self.answered(response);
-                }
-                // Its process lives and has answered, so that this is no broken connection.
-                Ok(Err(ExchangeError::Unreadable(e))) => {
-                    self.answer_warnings.warn(|| format!("unreadable answer of upstream {}: {e}", id.0));
-                    return Outcome::Error.into();
-                }
-                // It had ended unseen while idle. Nothing of the request has left: another is taken.
-                Ok(Err(ExchangeError::Ended(_))) if reused && written == 0 => {}
-                Ok(Err(ExchangeError::Ended(e))) => {
-                    tracing::debug!(upstream = id.0, written, length, "broken: {e}");
-                    return if written < length { Outcome::ConnectFailed } else { Outcome::Reset }.into();
-                }
-                Err(_) => {
-                    return if written < length { Outcome::NotSent } else { Outcome::TimedOut }.into();
-                }
+            if let Some(ended) = self.exchange(id, &upstream, used, outgoing.request(left), give_up).await {
+                return ended;
             }
         }
     }
 
+    /// Sends a request on a connection and says how that ended; `None`: nothing of it has left, so that it goes on
+    /// another one.
+    async fn exchange(
+        &self,
+        id: UpstreamId,
+        upstream: &Upstream,
+        mut used: Used,
+        request: Request<Full<Bytes>>,
+        give_up: Instant,
+    ) -> Option<Ended> {
+        let connection = &mut used.connection;
+        let (before, length) = (connection.written(), wire_length(&request));
+        let exchanged = timeout_at(give_up, exchange(connection, request)).await;
+        let written = connection.written() - before;
+        let whole = written >= length;
+        Some(match exchanged {
+            // An upstream starts with the last byte: this is an answer to something else, perhaps an earlier request.
+            Ok(Ok(response)) if !whole && response.status() == StatusCode::OK => {
+                self.answer_warnings.warn(|| format!("upstream {} answered before it was asked", id.0));
+                Outcome::ConnectFailed.into()
+            }
+            Ok(Ok(response)) => {
+                // An answer that came before the request had left whole leaves the rest in the way.
+                if whole {
+                    upstream.put_back(used);
+                }
+                self.answered(response)
+            }
+            // Its process lives and has answered, so that this is no broken connection.
+            Ok(Err(ExchangeError::Unreadable(e))) => {
+                self.answer_warnings.warn(|| format!("unreadable answer of upstream {}: {e}", id.0));
+                Outcome::Error.into()
+            }
+            // It had ended unseen while idle.
+            Ok(Err(ExchangeError::Ended(_))) if used.reused && written == 0 => return None,
+            Ok(Err(ExchangeError::Ended(e))) => {
+                tracing::debug!(upstream = id.0, written, length, "broken: {e}");
+                if whole { Outcome::Reset } else { Outcome::ConnectFailed }.into()
+            }
+            Err(_) => if whole { Outcome::TimedOut } else { Outcome::NotSent }.into(),
+        })
+    }
+
     /// Asks an upstream how it is.
     pub async fn probe(&self, id: UpstreamId) -> Ended {
         let target = Uri::from_static(if self.reports == Reports::Off { "/health/live" } else { "/stats" });
--- /dev/null
+++ b/node/tests/crossing_upstreams.rs
@@ -0,0 +1,197 @@
+//! Connections to upstreams, crossed by restarts, late answers and answers that break off.
+
+mod common;
+
+use bytes::Bytes;
+use common::{LONG, Setup, look, next_request};
+use hyper::header::HeaderMap;
+use hyper::{Method, Uri};
+use lapisroute::{Availability, Outcome, Settings, UpstreamId};
+use maplehook::exchange::Outgoing;
+use maplehook::upstream::{Ended, Place, Upstreams};
+use socket2::{Domain, SockRef, Socket, Type};
+use std::cell::Cell;
+use std::io::Write;
+use std::rc::Rc;
+use std::time::{Duration, Instant as WallInstant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+
+const ID: UpstreamId = UpstreamId(7);
+const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+fn outgoing(body: usize) -> Outgoing {
+    Outgoing {
+        method: Method::POST,
+        target: Uri::from_static("/book"),
+        headers: HeaderMap::new(),
+        body: Bytes::from(vec![b'x'; body]),
+    }
+}
+
+/// One upstream, listed as ready, and where it listens.
+async fn one() -> (Rc<Upstreams>, TcpListener, Place) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let settings = Settings { connect_timeout: LONG, conn_idle: LONG, ..Settings::default() };
+    let upstreams = Rc::new(Upstreams::new(&settings, 8));
+    let endpoint = Some(listener.local_addr().unwrap());
+    let place = Place { endpoint, availability: Availability::Ready, boot_ms: 5 };
+    upstreams.place(ID, &place);
+    (upstreams, listener, place)
+}
+
+async fn attempt(upstreams: &Upstreams, body: usize, within: Duration) -> Ended {
+    upstreams.attempt(ID, &outgoing(body), Instant::now() + within, &Cell::new(false)).await
+}
+
+/// A connection of the balancer's, with the request on it read.
+async fn requested(listener: &TcpListener) -> TcpStream {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    assert!(stream.read(&mut [0; 4096]).await.unwrap() > 0);
+    stream
+}
+
+/// Guards against a request on a connection to a process that is no more: the upstream is listed with a new start
+/// while an answer of the old process is under way.
+#[tokio::test(flavor = "local")]
+async fn a_connection_to_the_process_before_a_restart_is_not_kept() {
+    let (upstreams, listener, mut place) = one().await;
+    let asks = Rc::clone(&upstreams);
+    let asked = spawn_local(async move { attempt(&asks, 1, LONG).await });
+    let mut stream = requested(&listener).await;
+    place.boot_ms = 6;
+    upstreams.place(ID, &place);
+    stream.write_all(OK).await.unwrap();
+    assert_eq!(asked.await.unwrap().outcome, Outcome::Ok, "what it has it finishes");
+    assert_eq!(upstreams.open_connections(), 0, "the connection to the old process is kept");
+    assert_eq!(stream.read(&mut [0; 16]).await.unwrap(), 0);
+}
+
+/// Guards against half an answer passed on as a whole one, and against one that is waited for longer than there is
+/// time: an answer without a length ends with its connection's end, and a reset is no end.
+#[tokio::test(flavor = "local")]
+async fn an_answer_that_breaks_off_is_none() {
+    let no_length = "HTTP/1.1 200 OK\r\n\r\nhalf";
+    let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+    let (short, long) = (Duration::from_millis(50), LONG);
+    for (answer, closes, within, outcome) in [
+        (no_length, Some(false), long, Outcome::Ok),
+        (no_length, Some(true), long, Outcome::Error),
+        (no_length, None, short, Outcome::TimedOut),
+        (chunked, Some(false), long, Outcome::Error),
+        (chunked, Some(true), long, Outcome::Error),
+        (chunked, None, short, Outcome::TimedOut),
+    ] {
+        let (upstreams, listener, _) = one().await;
+        let respond = async {
+            let mut stream = requested(&listener).await;
+            stream.write_all(answer.as_bytes()).await.unwrap();
+            match closes {
+                None => Some(stream),
+                Some(reset) => {
+                    let linger = reset.then_some(Duration::ZERO);
+                    // The bytes have to be there before the reset, which would overtake them.
+                    tokio::task::yield_now().await;
+                    SockRef::from(&stream).set_linger(linger).unwrap();
+                    None
+                }
+            }
+        };
+        let (ended, _open) = tokio::join!(attempt(&upstreams, 1, within), respond);
+        assert_eq!(ended.outcome, outcome, "{answer:?}, closed by a reset: {closes:?}");
+        assert_eq!(ended.served.is_some(), outcome == Outcome::Ok);
+    }
+}
+
+/// Guards against bytes that nobody asked for, on a connection at rest: it is not used any more.
+#[tokio::test(flavor = "local")]
+async fn bytes_on_a_connection_at_rest_end_it() {
+    for late in ["HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate", "HTTP/1.1 2", "\r\n"] {
+        let (upstreams, listener, _) = one().await;
+        let respond = async {
+            let mut stream = requested(&listener).await;
+            stream.write_all(OK).await.unwrap();
+            stream
+        };
+        let (ended, mut stream) = tokio::join!(attempt(&upstreams, 1, LONG), respond);
+        assert_eq!(ended.outcome, Outcome::Ok);
+        stream.write_all(late.as_bytes()).await.unwrap();
+        let respond = async { requested(&listener).await.write_all(OK).await.unwrap() };
+        let both = async { tokio::join!(attempt(&upstreams, 1, LONG), respond) };
+        let (ended, ()) = tokio::time::timeout(LONG, both).await.expect("a new connection");
+        assert_eq!(ended.outcome, Outcome::Ok, "{late:?}");
+    }
+}
+
+/// Guards against an answer that belongs to something else: it is there before its request has left whole.
+#[tokio::test(flavor = "local")]
+async fn an_answer_before_the_requests_last_byte_is_none() {
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    listener.set_recv_buffer_size(2048).unwrap();
+    listener.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+    listener.listen(8).unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let listener = TcpListener::from_std(listener.into()).unwrap();
+    let settings = Settings { connect_timeout: LONG, conn_idle: LONG, ..Settings::default() };
+    let upstreams = Upstreams::new(&settings, 8);
+    let endpoint = Some(listener.local_addr().unwrap());
+    upstreams.place(ID, &Place { endpoint, availability: Availability::Ready, boot_ms: 0 });
+    for (answer, outcome) in [
+        (OK, Outcome::ConnectFailed),
+        (&b"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"[..], Outcome::Rejected),
+    ] {
+        let respond = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            stream.write_all(answer).await.unwrap();
+            stream
+        };
+        let (ended, _stream) = tokio::join!(attempt(&upstreams, 8_000_000, LONG), respond);
+        assert_eq!(ended.outcome, outcome);
+        // The connection ends with the next turn of the loop: the rest of the request is in the way.
+        let closed = async {
+            while upstreams.open_connections() > 0 {
+                tokio::task::yield_now().await
+            }
+        };
+        tokio::time::timeout(LONG, closed).await.expect("it is closed");
+    }
+}
+
+/// Guards against a request on a connection that comes up after its attempt was given up.
+#[tokio::test(flavor = "local")]
+async fn a_connection_that_comes_up_too_late_carries_nothing() {
+    // With a full backlog the system leaves further connections hanging until there is room.
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    listener.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+    listener.listen(0).unwrap();
+    let address = listener.local_addr().unwrap().as_socket().unwrap();
+    let _fills = std::net::TcpStream::connect(address).unwrap();
+    let settings = Settings { connect_timeout: Duration::from_millis(200), ..Settings::default() };
+    let upstreams = Upstreams::new(&settings, 8);
+    upstreams.place(ID, &Place { endpoint: Some(address), availability: Availability::Ready, boot_ms: 0 });
+    let ended = attempt(&upstreams, 1, Duration::from_millis(50)).await;
+    assert_eq!(ended.outcome, Outcome::NotSent, "given up before the connection counts as failed");
+    assert_eq!(attempt(&upstreams, 1, LONG).await.outcome, Outcome::ConnectFailed);
+    assert_eq!(upstreams.open_connections(), 0);
+}
+
+/// Guards what a further attempt says of the time: no more than is left to the client then.
+#[test]
+fn a_further_attempt_tells_the_time_that_is_left() {
+    let (address, streams) = common::raw_peer();
+    let node = Setup::with(&[address, address]).start();
+    let mut client = node.connect();
+    let asked = WallInstant::now();
+    client.write(&look(3000));
+    let first = streams.recv_timeout(LONG).expect("an attempt");
+    assert!(next_request(&first).is_some());
+    std::thread::sleep(Duration::from_millis(200));
+    let passed = asked.elapsed().as_millis() as u64;
+    (&first).write_all(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n").unwrap();
+    let second = streams.recv_timeout(LONG).expect("a further attempt");
+    let told = next_request(&second).expect("a request");
+    let told: u64 = told.header("x-time-left-ms").expect("a time").parse().unwrap();
+    assert!(told + passed <= 3000, "{told} ms told after {passed} of 3000");
+}
