Let a connection to an upstream rest for 30 ms after an answer before it is used again

Cause: an upstream may send a second answer some milliseconds late. On a connection at rest the bytes end it, but on one that carries the next request already they are taken for that request's answer, and one client gets what belongs to another (upstream.rs, connection: the most recently used goes first). Nothing on the wire tells them apart. Change: a connection is not used within 30 ms of its last answer; another one is taken or made, and where no more may be open the oldest is waited for. The test of reuse now leaves that rest between its requests; it still asks for one connection in all. Measured: the new test failed before with 'late' in place of 'mine'.

--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -7,6 +7,10 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// How long a connection rests after an answer before it carries another request: an upstream may send a second
+/// answer some milliseconds late, and nothing on the wire tells whose it is.
+const REST: Duration = Duration::from_millis(30);
+
 /// The idle connections to one upstream.
 #[derive(Default)]
 pub struct IdlePool {
@@ -20,16 +24,22 @@
         self.idle.borrow_mut().push((connection, Instant::now()));
     }
 
-    /// The most recently used one, unless it has been idle for `idle_most` or longer.
-    pub fn take(&self, idle_most: Duration) -> Option<Connection> {
-        let (connection, since) = self.idle.borrow_mut().pop()?;
+    /// The most recently used of those that have rested, unless it has been idle for `idle_most` or longer.
+    pub fn take_rested(&self, idle_most: Duration) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let rested = idle.iter().rposition(|(_, since)| since.elapsed() >= REST)?;
+        let (connection, since) = idle.remove(rested);
         (since.elapsed() < idle_most).then_some(connection)
     }
 
-    /// The one that has been idle for the longest.
-    pub fn take_oldest(&self) -> Option<Connection> {
+    /// The one that has rested for the longest, and when it may be used.
+    pub fn take_oldest(&self) -> Option<(Connection, Instant)> {
         let mut idle = self.idle.borrow_mut();
-        (!idle.is_empty()).then(|| idle.remove(0).0)
+        if idle.is_empty() {
+            return None;
+        }
+        let (connection, since) = idle.remove(0);
+        Some((connection, since + REST))
     }
 
     /// Closes those that have ended, or have been idle for `idle_most` or longer.
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -20,7 +20,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::yield_now;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Share of the upstreams' idle time after which a connection is closed or not used any more: a request that
 /// crosses the upstream's own close ends as a reset, and an unsafe one is lost to its client then.
@@ -199,7 +199,15 @@
     /// A connection in use before, or else a new one.
     async fn connection(&self, upstream: &Upstream, give_up: Instant) -> Result<Used, Outcome> {
         let boot_ms = upstream.boot_ms.get();
-        while let Some(mut connection) = upstream.idle.take(self.idle_most) {
+        while let Some(mut connection) = upstream.idle.take_rested(self.idle_most) {
+            if timeout_at(give_up, connection.is_usable()).await == Ok(true) {
+                return Ok(Used { connection, reused: true, boot_ms });
+            }
+        }
+        if self.open.is_full()
+            && let Some((mut connection, rested)) = upstream.idle.take_oldest()
+        {
+            sleep_until(rested.min(give_up)).await;
             if timeout_at(give_up, connection.is_usable()).await == Ok(true) {
                 return Ok(Used { connection, reused: true, boot_ms });
             }
--- a/node/tests/crossing_upstreams.rs
+++ b/node/tests/crossing_upstreams.rs
@@ -177,6 +177,37 @@
     assert_eq!(upstreams.open_connections(), 0);
 }
 
+/// Guards a client against another one's answer: an upstream may send a second answer some milliseconds late, and
+/// on a connection in use again by then nothing tells whose it is.
+#[test]
+fn a_late_second_answer_reaches_no_other_request() {
+    const LATE: Duration = Duration::from_millis(25);
+    let (address, streams) = common::raw_peer();
+    std::thread::spawn(move || {
+        for mut stream in streams {
+            std::thread::spawn(move || {
+                let mut answered: Option<WallInstant> = None;
+                while next_request(&stream).is_some() {
+                    // A further request so soon would meet the second answer to the one before.
+                    let crossed = answered.is_some_and(|at| at.elapsed() < LATE);
+                    let body = if crossed { "late" } else { "mine" };
+                    answered = Some(WallInstant::now());
+                    let head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+                    if write!(stream, "{head}{body}").is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    let node = Setup::with(&[address]).start();
+    let mut client = node.connect();
+    for _ in 0..20 {
+        let answer = client.exchange(&look(5000));
+        assert_eq!((answer.status(), &answer.body[..]), (200, &b"mine"[..]));
+    }
+}
+
 /// Guards what a further attempt says of the time: no more than is left to the client then.
 #[test]
 fn a_further_attempt_tells_the_time_that_is_left() {
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -5,7 +5,7 @@
 use common::*;
 use std::io::Write;
 use std::process::{Command, Stdio};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 const TURNED_AWAY: &str = "HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
 const PLAIN_503: &str = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
@@ -19,6 +19,8 @@
     let node = Setup::with(&[upstream.address]).start();
     let mut client = node.connect();
     for _ in 0..3 {
+        // A connection that has just been used is left to rest for 30 ms.
+        std::thread::sleep(Duration::from_millis(40));
         let answer = client.exchange(&book(5000, "a day"));
         assert_eq!((answer.status(), &answer.body[..]), (200, &b"done"[..]));
         assert_eq!(answer.header("x-own"), Some("kept"));
