Take out the call for the whole list, which nothing makes

Need: a whole list and a watch under way together could cross, an older answer taking the place of a newer list. Looked for in the module: no decision ever asks for the whole list (no Action::FetchFleet is pushed anywhere), a watch from version 0 begins with it. Measured: the tests of the module, the adapter and the balancer pass as before.

--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -316,7 +316,6 @@
             head(reply, 73, instance);
             reply.push(1);
         }
-        Action::FetchFleet => head(reply, 71, instance),
         Action::CloseIdle { upstream } => {
             head(reply, 76, instance);
             put_upstream(reply, *upstream);
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -171,21 +171,6 @@
         News { scope: FleetScope::Cached, entries }
     }
 
-    /// Asks for the whole list.
-    pub async fn fetch(&self) -> News {
-        let read = async {
-            let (_connection, body) = timeout(SILENCE_MOST, self.ask("/registry/instances")).await??;
-            let body = http_body_util::Limited::new(body, LINE_MOST);
-            let text = timeout(SILENCE_MOST, body.collect()).await??.to_bytes();
-            let news = self.read(&text)?;
-            Ok::<_, Failure>(News { scope: FleetScope::Full, ..news })
-        };
-        read.await.unwrap_or_else(|e| {
-            self.warnings.warn(|| format!("no list: {e}"));
-            News::failed()
-        })
-    }
-
     /// It is asked at another address from now on; whether it has been watched and so must be watched there.
     pub fn move_to(&self, address: SocketAddr) -> bool {
         self.address.replace(address) != address && self.watch.borrow().is_some()
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -275,13 +275,6 @@
                 });
             }
             Action::WatchFleet => self.watch(),
-            Action::FetchFleet => {
-                let driver = Rc::clone(self);
-                spawn_local(async move {
-                    let news = driver.discovery.fetch().await;
-                    driver.happened(Queued::Fleet(news));
-                });
-            }
             Action::CloseIdle { upstream } => self.upstreams.close_idle(upstream),
             Action::Probe { upstream } => {
                 let (driver, sent) = (Rc::clone(self), Instant::now());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -283,8 +283,6 @@
     },
     /// Ask the list service for changes from now on.
     WatchFleet,
-    /// Ask the list service for the whole list once.
-    FetchFleet,
     /// Close the idle connections to an upstream; those in use stay.
     CloseIdle {
         /// Which.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -146,7 +146,7 @@
     pub over_share_worth: f64,
     /// A request's worth is in proportion to its work.
     pub worth_by_work: bool,
-    /// The list of upstreams must be asked for: [`Action::WatchFleet`](crate::Action::WatchFleet), [`Action::FetchFleet`](crate::Action::FetchFleet).
+    /// The list of upstreams must be asked for: [`Action::WatchFleet`](crate::Action::WatchFleet).
     pub ask_for_fleet: bool,
     /// A balancer silent for this long counts as told of all that was listed then.
     pub ask_every: Duration,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -93,7 +93,7 @@
                     self.losses.insert(*id, *why);
                 }
                 Action::Probe { upstream } => self.probes.push(*upstream),
-                Action::WatchFleet | Action::FetchFleet => self.list_calls.push(self.now),
+                Action::WatchFleet => self.list_calls.push(self.now),
                 Action::Cancel { .. } | Action::CloseIdle { .. } | Action::Log { .. } => {}
             }
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -106,7 +106,7 @@
                 assert!(self.named.contains(&upstream));
                 self.probes.push(upstream);
             }
-            Action::WatchFleet | Action::FetchFleet => assert!(self.set.ask_for_fleet),
+            Action::WatchFleet => assert!(self.set.ask_for_fleet),
             Action::Log { .. } | Action::CloseIdle { .. } => {}
             Action::Cancel { id, attempt } => {
                 assert!(self.set.cancelling);
