--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -5,8 +5,9 @@
 //! is never entered twice; tasks only ever add to the queue.
 
 use crate::clock::Clock;
-use crate::discovery::{Discovery, News};
+use crate::discovery::Discovery;
 use crate::in_flight::{Answer, Asked, Attempt, Held};
+use crate::list::ListUpdate;
 use crate::tally::Tally;
 use crate::upstream::{Ended, Upstreams};
 use lapisroute::{
@@ -27,7 +28,7 @@
 
 /// What is told to the module next.
 enum Queued {
-    Fleet(News),
+    Fleet(ListUpdate),
     Asked(RequestId),
     AttemptEnded(RequestId, AttemptNo, Ended),
     ProbeEnded(UpstreamId, Duration, Ended),
@@ -62,7 +63,7 @@
         tally: Tally,
         upstreams: Upstreams,
         discovery: Discovery,
-        known: News,
+        known: ListUpdate,
     ) -> Rc<Self> {
         let core = Core { balancer, requests: FxHashMap::default(), actions: Vec::new(), next_id: 0, tally };
         let driver = Rc::new(Self {
@@ -110,8 +111,9 @@
     /// Watches discovery, in place of the watch before.
     fn watch(self: &Rc<Self>) {
         let driver = Rc::clone(self);
+        let number = self.discovery.begin_watch();
         let watch = spawn_local(async move {
-            driver.discovery.watch(|news| driver.happened(Queued::Fleet(news))).await;
+            driver.discovery.watch(number, |update| driver.happened(Queued::Fleet(update))).await;
         });
         self.discovery.watched_by(watch.abort_handle());
     }
@@ -152,9 +154,9 @@
         let now = self.clock.now();
         let mut actions = std::mem::take(&mut core.actions);
         match event {
-            Queued::Fleet(news) => {
-                let listed = self.fleet(&news);
-                let event = Event::Fleet { scope: news.scope, listed: &listed };
+            Queued::Fleet(update) => {
+                let listed = self.fleet(&update);
+                let event = Event::Fleet { scope: update.scope, listed: &listed };
                 core.balancer.handle(now, event, &mut actions);
             }
             Queued::Asked(id) => {
@@ -227,13 +229,13 @@
         core.actions = actions;
     }
 
-    /// Applies news to the connections and words them for the module.
-    fn fleet(&self, news: &News) -> Vec<Listed> {
-        if matches!(news.scope, FleetScope::Full | FleetScope::Cached) {
-            let ids: FxHashSet<UpstreamId> = news.entries.iter().map(|e| e.id).collect();
+    /// Applies update to the connections and words them for the module.
+    fn fleet(&self, update: &ListUpdate) -> Vec<Listed> {
+        if matches!(update.scope, FleetScope::Full | FleetScope::Cached) {
+            let ids: FxHashSet<UpstreamId> = update.entries.iter().map(|e| e.id).collect();
             self.upstreams.keep_only(|id| ids.contains(&id));
         }
-        let listed = news.entries.iter().map(|entry| {
+        let listed = update.entries.iter().map(|entry| {
             self.upstreams.place(entry.id, &entry.place);
             Listed {
                 id: entry.id,
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod exchange;
 pub mod headers;
 pub mod in_flight;
+pub mod list;
 pub mod members;
 pub mod pool;
 pub mod process;
--- a/node/tests/crossing_server.rs
+++ b/node/tests/crossing_server.rs
@@ -8,8 +8,9 @@
     Availability, Balancer, CellId, Class, Effect, FleetScope, KindId, Settings, UpstreamId, ZoneId,
 };
 use lapisroute_settings::{Names, Site};
-use maplehook::discovery::{Discovery, Entry, News};
+use maplehook::discovery::Discovery;
 use maplehook::driver::Driver;
+use maplehook::list::{Entry, ListUpdate};
 use maplehook::server::{Phase, Server};
 use maplehook::tally::Tally;
 use maplehook::upstream::{Place, Upstreams};
@@ -44,7 +45,7 @@
         Tally::new(&site),
         Upstreams::new(&site.settings, 8),
         Discovery::new(nobody(), site.names.clone()),
-        News { scope: FleetScope::Cached, entries },
+        ListUpdate { scope: FleetScope::Cached, entries },
     );
     let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     // Connections take this over from their listener.
