Watch the balancer's own agent where lists are pushed

Cause: a balancer asked for its list only where the settings say that it must be asked for (policy/mod.rs, tick: ask_for_fleet). Change: on sockets the watch is always opened; an agent is asked at once, with no spread over the fleet and no doubling waits, as no other balancer's call waits there.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -134,7 +134,10 @@
     pub fn parse(text: &str) -> Result<Self, ConfigError> {
         let raw: Raw<'_> = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
         let seed = u64::from_str_radix(&raw.seed, 16).map_err(|e| ConfigError(format!("seed: {e}")))?;
-        let site = lapisroute_settings::parse(raw.settings.get()).map_err(ConfigError)?;
+        let mut site = lapisroute_settings::parse(raw.settings.get()).map_err(ConfigError)?;
+        // Where lists are pushed, an agent of this balancer's own has them: on sockets they come over its watch.
+        site.settings.own_agent = !site.settings.ask_for_fleet;
+        site.settings.ask_for_fleet = true;
         if raw.limits.sockets < 2 * RESERVED_SOCKETS {
             return Err(ConfigError(format!("limits.sockets: {} are too few", raw.limits.sockets)));
         }
--- a/node/tests/crossing_lists.rs
+++ b/node/tests/crossing_lists.rs
@@ -28,6 +28,20 @@
     (node, calls, watch)
 }
 
+/// Guards sites whose lists are pushed: what their agent has counts as told, so it is watched from the start.
+#[test]
+fn where_lists_are_pushed_the_agent_is_watched() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let (discovery, calls) = discovery();
+    let mut setup = Setup::with(&[upstream.address]);
+    setup.discovery = discovery;
+    let node = setup.start();
+    let (target, watch) = calls.recv_timeout(Duration::from_secs(3)).expect("a watch");
+    assert!(target.contains("stream=1"), "{target}");
+    tell(&watch, &list(2, false, &[entry("s-0", upstream.address, "Terminating")]));
+    until("the drain is known", || node.connect().exchange(&book(5000, "x")).status() == 503);
+}
+
 /// Guards lists that go over several lines, on a watch too.
 #[test]
 fn a_list_may_come_indented() {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -207,6 +207,7 @@
         over_share_worth: raw.over_share_worth.unwrap_or(base.over_share_worth),
         worth_by_work: raw.worth_by.as_deref() == Some("work"),
         ask_for_fleet: raw.discovery.as_deref() == Some("subscribe"),
+        own_agent: base.own_agent,
         ask_every: time(rules.ask_every_ms, base.ask_every),
         cold_from: rules.cold_from.unwrap_or(base.cold_from),
         cold_time: time(rules.cold_ms, base.cold_time),
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -11,22 +11,44 @@
 /// Seconds of the list service left to each balancer's call: it serves one after another, and a call that has
 /// waited for too long fails and is made again.
 const CALL_EACH: f64 = 0.05;
+/// The wait before a further call to an agent.
+const WAIT_LEAST: f64 = 0.25;
+/// Seconds after which a call to an agent that nothing has answered is given up for another.
+const AGENT_CALL_MOST: f64 = 1.0;
 
 impl Balancer {
     /// Seconds over which the calls of all balancers are spread, should all need their list at once.
     pub(super) fn calls_over(&self) -> f64 {
-        (CALL_EACH * f64::from(self.set.balancers)).min(0.5 * self.set.ask_every.as_secs_f64())
+        let all = if self.set.own_agent { 0.0 } else { CALL_EACH * f64::from(self.set.balancers) };
+        all.min(0.5 * self.set.ask_every.as_secs_f64())
+    }
+
+    /// Asks for the list where that is due.
+    pub(super) fn ask_for_list(&mut self) {
+        if !self.set.ask_for_fleet || self.watching || self.at < self.ask_at {
+            return;
+        }
+        // An unanswered call is asked again well before silence counts as having been told.
+        let again = self.set.ask_every.as_secs_f64() * (0.4 + 0.2 * self.rng.f64());
+        let again = if self.set.own_agent { AGENT_CALL_MOST } else { again };
+        self.ask_at = self.at + again;
+        self.out.push(Action::WatchFleet);
+    }
+
+    /// A call failed, or the watch ended: doubling, jittered waits, as a list service that was down must not
+    /// meet all at once.
+    fn list_failed(&mut self) {
+        let longest = self.set.ask_every.as_secs_f64() * 0.8;
+        let wait = (longest / 16.0) * f64::from(1u32 << self.ask_failures.min(4));
+        let wait = if self.set.own_agent { WAIT_LEAST } else { wait.max(self.calls_over()) };
+        self.ask_failures += 1;
+        self.watching = false;
+        self.ask_at = self.at + wait * (0.25 + 0.75 * self.rng.f64());
     }
 
     pub(super) fn fleet(&mut self, scope: FleetScope, listed: &[Listed]) {
         if scope == FleetScope::Failed {
-            // Doubling, jittered waits: a list service that was down must not meet all at once.
-            let longest = self.set.ask_every.as_secs_f64() * 0.8;
-            let wait = (longest / 16.0) * f64::from(1u32 << self.ask_failures.min(4));
-            let wait = wait.max(self.calls_over());
-            self.ask_failures += 1;
-            self.watching = false;
-            self.ask_at = self.at + wait * (0.25 + 0.75 * self.rng.f64());
+            self.list_failed();
             return;
         }
         if scope != FleetScope::Cached {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -243,11 +243,7 @@
         self.weigh(tau);
         self.grant(tau);
         self.look_for_overdue();
-        if self.set.ask_for_fleet && !self.watching && at >= self.ask_at {
-            // An unanswered call is asked again well before silence counts as having been told.
-            self.ask_at = at + self.set.ask_every.as_secs_f64() * (0.4 + 0.2 * self.rng.f64());
-            self.out.push(Action::WatchFleet);
-        }
+        self.ask_for_list();
         self.out.push(Action::Timer { after: Duration::from_secs_f64(TICK), timer: TICK_TIMER });
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -148,6 +148,8 @@
     pub worth_by_work: bool,
     /// The list of upstreams must be asked for: [`Action::WatchFleet`](crate::Action::WatchFleet).
     pub ask_for_fleet: bool,
+    /// Whoever is asked for it is this balancer's own agent: no other balancer's calls wait there.
+    pub own_agent: bool,
     /// A balancer silent for this long counts as told of all that was listed then.
     pub ask_every: Duration,
     /// A starting upstream can do at least this share of its work ...
@@ -202,6 +204,7 @@
             over_share_worth: 0.1,
             worth_by_work: false,
             ask_for_fleet: false,
+            own_agent: false,
             ask_every: Duration::from_secs(10),
             cold_from: 0.3,
             cold_time: Duration::from_secs(10),
