Bound the wait for another call to the list by when a change counts as told

A change that discovery had and could tell was then known after 6.2 s (2 balancers, calls of 3 s), 7.3 s (silent watch) and more; it counts as told after 6. Change: the wait is at most what the failed call, or the silence of 3 s, leaves of the 6 s less 1.5 s for the next one; fleets whose calls take 3 s or more in turn keep a spread of 3 s. Measured: the new tests, in simulated time for 2 to 300 balancers, asking every 4 to 60 s, calls of 0 to 3.5 s, failed before with 'known after 6.225s', 'known after 7.320s' and 'waits 7.895s'.

--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -11,9 +11,16 @@
 /// Seconds of the list service left to each balancer's call: it serves one after another, and a call that has
 /// waited for too long fails and is made again.
 const CALL_EACH: f64 = 0.05;
-/// The wait before a further call to an agent.
+/// Seconds after which a change counts as told, however the calls for it went. Of these: what an answered
+/// call takes from its connection on, and what it takes to see that a watch has fallen silent.
+const TOLD_WITHIN: f64 = 6.0;
+const CALL_TAKES: f64 = 1.5;
+const SILENCE: f64 = 3.0;
+/// The shortest wait before a further call, and the longest over which many balancers spread theirs.
 const WAIT_LEAST: f64 = 0.25;
-/// Seconds after which a call to an agent that nothing has answered is given up for another.
+const CROWD_MOST: f64 = 3.0;
+/// Seconds after which a call that nothing has answered is given up for another; the agent answers at once.
+const CALL_MOST: f64 = 4.0;
 const AGENT_CALL_MOST: f64 = 1.0;
 
 impl Balancer {
@@ -30,20 +37,25 @@
         }
         // An unanswered call is asked again well before silence counts as having been told.
         let again = self.set.ask_every.as_secs_f64() * (0.4 + 0.2 * self.rng.f64());
-        let again = if self.set.own_agent { AGENT_CALL_MOST } else { again };
-        self.ask_at = self.at + again;
+        let again = if self.set.own_agent { AGENT_CALL_MOST } else { again.max(CALL_MOST) };
+        (self.asked_at, self.ask_at) = (self.at, self.at + again);
         self.out.push(Action::WatchFleet);
     }
 
     /// A call failed, or the watch ended: doubling, jittered waits, as a list service that was down must not
-    /// meet all at once.
+    /// meet all at once; but none so long that a change made meanwhile is known later than it counts as told.
     fn list_failed(&mut self) {
         let longest = self.set.ask_every.as_secs_f64() * 0.8;
-        let wait = (longest / 16.0) * f64::from(1u32 << self.ask_failures.min(4));
-        let wait = if self.set.own_agent { WAIT_LEAST } else { wait.max(self.calls_over()) };
+        let doubling = (longest / 16.0) * f64::from(1u32 << self.ask_failures.min(4));
+        let spent = if self.watching { SILENCE } else { self.at - self.asked_at };
+        let crowd = self.calls_over().min(CROWD_MOST);
+        // The largest fleets keep their spread: a service that all ask at once is in reach of few of them.
+        let least = if crowd < CROWD_MOST { WAIT_LEAST } else { CROWD_MOST };
+        let left = (TOLD_WITHIN - CALL_TAKES - spent).max(least);
+        let wait = if self.set.own_agent { WAIT_LEAST } else { doubling.max(crowd).min(left) };
         self.ask_failures += 1;
         self.watching = false;
-        self.ask_at = self.at + wait * (0.25 + 0.75 * self.rng.f64());
+        self.ask_at = self.at + wait * (0.1 + 0.9 * self.rng.f64());
     }
 
     pub(super) fn fleet(&mut self, scope: FleetScope, listed: &[Listed]) {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -117,6 +117,7 @@
     last_tick: f64,
     watching: bool,
     ask_at: f64,
+    asked_at: f64,
     ask_failures: u32,
 }
 
--- a/tests/list_calls.rs
+++ b/tests/list_calls.rs
@@ -7,6 +7,15 @@
 use lapisroute::*;
 use std::time::Duration;
 
+/// A change counts as told so long after discovery had it and could be reached.
+const TOLD_WITHIN: Duration = ms_const(6000);
+/// An answered call takes this from its connection on.
+const CALL_TAKES: Duration = ms_const(1500);
+
+const fn ms_const(t: u64) -> Duration {
+    Duration::from_millis(t)
+}
+
 fn settings(balancers: u32, index: u32, ask_every: u64) -> Settings {
     Settings {
         ask_for_fleet: true,
@@ -40,6 +49,73 @@
     bench.tell(Event::Fleet { scope: FleetScope::Failed, listed: &[] });
 }
 
+/// Guards the bound after failed calls: a change made right after one began, with discovery in reach from then on, is
+/// known within 6 s, whether calls are refused at once or given up, and however many have failed before.
+#[test]
+fn after_any_failed_call_a_change_is_known_in_time() {
+    for balancers in [2, 5, 20, 30] {
+        for ask_every in [4_000, 8_000, 20_000, 60_000] {
+            for call_lasts in [0, 1000, 3000, 3500] {
+                for index in 0..balancers.min(4) {
+                    let mut bench = balancer(balancers, index, ask_every);
+                    for failures in 0..12 {
+                        let began = next_call(&mut bench);
+                        bench.run(ms(call_lasts));
+                        fail(&mut bench);
+                        // The next one is answered.
+                        let known = next_call(&mut bench) + CALL_TAKES - began;
+                        assert!(
+                            known <= TOLD_WITHIN,
+                            "{balancers} balancers, asking every {ask_every} ms, calls of {call_lasts} ms: \
+                             known after {known:?} ({failures} failures before)"
+                        );
+                        bench.run(ms(call_lasts));
+                        fail(&mut bench);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Guards the bound after a watch that fell silent: 3 s until that is seen, then the wait, then the call.
+#[test]
+fn after_a_silent_watch_a_change_is_known_in_time() {
+    const SILENCE: Duration = ms_const(3000);
+    for balancers in [2, 5, 20, 30] {
+        for ask_every in [4_000, 8_000, 20_000, 60_000] {
+            for index in 0..balancers.min(4) {
+                let mut bench = balancer(balancers, index, ask_every);
+                for _ in 0..6 {
+                    next_call(&mut bench);
+                    bench.tell(Event::Fleet { scope: FleetScope::Full, listed: &fleet(4) });
+                    bench.run(ms(7000));
+                    fail(&mut bench);
+                    let failed = bench.now;
+                    let known = SILENCE + (next_call(&mut bench) - failed) + CALL_TAKES;
+                    assert!(known <= TOLD_WITHIN, "{balancers}, {ask_every}: known after {known:?}");
+                }
+            }
+        }
+    }
+}
+
+/// Guards the same of the largest fleets, where calls have to be spread as well: the wait alone is bounded there.
+#[test]
+fn the_largest_fleet_spreads_its_calls_and_still_asks_soon() {
+    for index in 0..300 {
+        let mut bench = balancer(300, index, 20_000);
+        for _ in 0..5 {
+            next_call(&mut bench);
+            fail(&mut bench);
+            let failed = bench.now;
+            let wait = next_call(&mut bench) - failed;
+            assert!(wait <= TOLD_WITHIN - CALL_TAKES, "balancer {index} waits {wait:?}");
+            fail(&mut bench);
+        }
+    }
+}
+
 /// Guards sites with an agent of their own: it is asked at once, and again soon, as nobody else's call waits there.
 #[test]
 fn an_agent_of_its_own_is_asked_at_once() {
