--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -45,6 +45,32 @@
     }
 }
 
+/// Classes of every effect, with the options that change what may be done about them.
+pub fn varied_settings(hedging: bool, sparse: bool, cancelling: bool, max_attempts: u8) -> Settings {
+    let keyed = |group, ttl| Effect::Deduplicated { group, ttl: ms(ttl) };
+    let streamed = Class { streamed: true, ..class(300, 900, Effect::Idempotent) };
+    Settings {
+        balancers: if sparse { 500 } else { 1 },
+        classes: vec![
+            class(200, 600, Effect::Idempotent),
+            class(300, 1200, Effect::AtMostOnce),
+            class(150, 1500, keyed(DedupGroup::Cell, 700)),
+            class(150, 1500, keyed(DedupGroup::Zone, 360)),
+            class(150, 1500, keyed(DedupGroup::All, 60)),
+            streamed,
+        ],
+        tenants: [900.0, 2000.0, 0.0].map(|a| Tenant { allowance_per_s: a }).to_vec(),
+        ask_for_fleet: sparse,
+        hedging,
+        cancelling,
+        max_attempts,
+        probing: sparse,
+        reports: if sparse { Reports::OnProbe } else { Reports::Inline },
+        report_fields: vec![LoadField::InFlight],
+        ..Settings::default()
+    }
+}
+
 /// A balancer with a clock, its pending timers and what it has sent.
 pub struct Bench {
     pub balancer: Balancer,
