Take a heartbeat for the answer to a call for the list

Cause: the module takes a watch for answered by what it tells; on a watch that began with a heartbeat, as nothing had changed, nothing was told (discovery.rs, follow), and the call was made again, after 1 s with an agent and 4 s else, each time closing a good watch. Change: a heartbeat in place of a first list tells that nothing has changed. Measured: the new test fails without it with 'called again'.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -115,7 +115,7 @@
     async fn follow(&self, number: u64, tell: &mut impl FnMut(ListUpdate)) -> Result<(), Failure> {
         let target = format!("/registry/instances?stream=1&index={}", self.rev.get());
         let (_connection, mut body) = timeout(CALL_TIMEOUT, self.ask(&target)).await??;
-        let (mut lines, mut last_line) = (WatchLines::default(), Instant::now());
+        let (mut lines, mut last_line, mut answered) = (WatchLines::default(), Instant::now(), false);
         while let Some(frame) = timeout_at(last_line + SILENCE_MOST, body.frame()).await? {
             let Ok(data) = frame?.into_data() else { continue };
             lines.push(&data);
@@ -123,7 +123,10 @@
                 && let Some(line) = self.next_line(&mut lines)?
             {
                 last_line = Instant::now();
-                if let Some(update) = line {
+                // A heartbeat in place of a first list says that nothing has changed.
+                let first = (!answered).then(ListUpdate::unchanged);
+                answered = true;
+                if let Some(update) = line.or(first) {
                     tell(update);
                 }
             }
--- a/node/src/list.rs
+++ b/node/src/list.rs
@@ -38,6 +38,11 @@
 }
 
 impl ListUpdate {
+    /// That nothing has changed.
+    pub fn unchanged() -> Self {
+        Self { scope: FleetScope::Changes, entries: Vec::new() }
+    }
+
     /// That a call failed or a watch ended.
     pub fn failed() -> Self {
         Self { scope: FleetScope::Failed, entries: Vec::new() }
--- a/node/tests/crossing_lists.rs
+++ b/node/tests/crossing_lists.rs
@@ -180,3 +180,16 @@
     tokio::time::timeout(LONG, task).await.expect("it ends").unwrap();
     assert_eq!(*told.borrow(), [FleetScope::Full]);
 }
+
+/// Guards a good watch on which nothing has changed: a heartbeat is an answer, and the call is not made again.
+#[test]
+fn a_heartbeat_answers_the_call_for_a_list() {
+    let (discovery, calls) = discovery();
+    let mut setup = Setup::with(&[nobody()]);
+    setup.discovery = discovery;
+    let _node = setup.start();
+    let (_, watch) = calls.recv_timeout(LONG).expect("a watch");
+    tell(&watch, "");
+    let again = calls.recv_timeout(Duration::from_millis(2500));
+    assert!(again.is_err(), "called again: {again:?}");
+}
