Read nothing more between the decision to close a client's connection and its end

Cause: after the server was told to close an idle connection the watch was polled before it, so that a request which came just then was read and thrown away, in place of crossing the close unread. Found by reading; within one turn of the loop, so that no test can put an event between. Change: the server ends the sending at once when it is told to, and only then is anything read again.

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -16,8 +16,10 @@
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::future::{Future, poll_fn};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
@@ -205,6 +207,10 @@
                 () = &mut close, if !closing => {
                     closing = true;
                     connection.as_mut().graceful_shutdown();
+                    // Before anything more is read: what comes now would be read and never answered.
+                    if poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx).is_ready())).await {
+                        return;
+                    }
                 }
                 () = client.is_stuck(), if closing => return,
             }
