Force two events into one instant by stopping the balancer while both happen

Need: crossings of a departure, an answer, a deadline, a drain and the limit for idle clients with one another, which peers alone cannot time. Change: tests that stop the process, let both happen and let it go on; more bytes behind requests held at the end.

--- a/node/tests/common/node.rs
+++ b/node/tests/common/node.rs
@@ -107,6 +107,18 @@
         self.signal("TERM");
     }
 
+    /// Stops the process; what happens meanwhile it finds all at once.
+    pub fn stop(&self) {
+        self.signal("STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        until("it stands still", || std::fs::read_to_string(&stat).unwrap().contains(") T "));
+    }
+
+    /// Lets it go on.
+    pub fn go_on(&self) {
+        self.signal("CONT");
+    }
+
     /// Replaces the configuration file and says so.
     pub fn reload(&self, text: &str) {
         std::fs::write(&self.path, text).unwrap();
--- a/node/tests/crossing_shutdown.rs
+++ b/node/tests/crossing_shutdown.rs
@@ -23,7 +23,9 @@
     let mut node = setup.start();
     // Of 64 descriptors 24 are reserved, and 22 of the rest are for clients.
     let mut holders: Vec<Client> = (0..22).map(|_| node.connect()).collect();
+    // Some send more behind their request, over which a connection would be reset at the process's end.
     holders.iter_mut().for_each(|client| client.write(&book(1500, "x")));
+    holders.iter_mut().step_by(3).for_each(|client| client.write(&look(1500)));
     until("all are in flight or waiting", || mute.seen().len() == 18);
     let mut waiting: Vec<Client> = (0..4).map(|_| node.connect()).collect();
     waiting.iter_mut().for_each(|client| client.write(&book(8000, "x")));
