--- a/lab/src/discovery.rs
+++ b/lab/src/discovery.rs
@@ -18,11 +18,13 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_stream::wrappers::ReceiverStream;
 
 /// How often a watch on which nothing changes says so.
 const EMPTY_LINE_EVERY: Duration = Duration::from_secs(2);
+/// What a watch that has fallen silent misses counts as told after this.
+const SILENCE_TELLS_AFTER: Duration = Duration::from_secs(6);
 /// Lines that a watcher may be behind.
 const LINES_BEHIND: usize = 16;
 
@@ -116,8 +118,20 @@
         (rev, serde_json::json!({"rev": rev, "all": since.is_none(), "targets": targets}).to_string())
     }
 
-    /// Notes what a text tells a balancer.
-    fn told(&self, balancer: u32, since: Option<u64>) {
+    /// Notes what a text tells a balancer: now, or where its watch is cut off, once that counts as told all the same.
+    fn told(self: &Arc<Self>, balancer: u32, since: Option<u64>) {
+        if !self.links.between(balancer, Other::Discovery).is_cut_back() {
+            self.note_told(balancer, since);
+            return;
+        }
+        let discovery = Arc::clone(self);
+        tokio::spawn(async move {
+            sleep(SILENCE_TELLS_AFTER).await;
+            discovery.note_told(balancer, since);
+        });
+    }
+
+    fn note_told(&self, balancer: u32, since: Option<u64>) {
         let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
         let newer = entries.iter().filter(|(_, e)| since.is_none_or(|since| e.rev > since));
         for (upstream, e) in newer {
--- a/lab/src/link.rs
+++ b/lab/src/link.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Whether nothing passes towards the balancer now.
+    pub fn is_cut_back(&self) -> bool {
+        self.ways[1].borrow().cut
+    }
+
     /// Ends all connections.
     pub fn reset(&self) {
         self.resets.send_modify(|n| *n += 1);
