--- a/frostkeel/src/lab.rs
+++ b/frostkeel/src/lab.rs
@@ -1,10 +1,10 @@
 //! `frostkeel demo` and `frostkeel lab`.
 
+use crate::lab_output::{Shown, table};
 use clap::{Args, Subcommand};
 use frostkeel_lab::experiment::Experiment;
-use frostkeel_lab::{Options, Played, Progress, play, presence, report, simulated, watching};
+use frostkeel_lab::{Options, play, presence, report, simulated, watching};
 use std::error::Error;
-use std::io::{IsTerminal, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::sync::watch;
@@ -12,8 +12,6 @@
 const DEMO: &str = include_str!("../../lab/experiments/demo.toml");
 /// The balancer's program, beside this one.
 const BALANCER: &str = "maplehook";
-/// Processes up to which a terminal shows a line for each.
-const TABLE_MOST: usize = 24;
 
 /// Where a play's programs and files are.
 #[derive(Args)]
@@ -358,131 +356,3 @@
     }
     Ok(if sound { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
-
-fn table(played: &Played) {
-    let f = &played.figures;
-    println!("{:16} {:>7} {:>8} {:>6} {:>8} {:>7}", "class", "asked", "in time", "late", "refused", "failed");
-    for class in &f.classes {
-        let c = &class.counts;
-        println!(
-            "{:16} {:>7} {:>8} {:>6} {:>8} {:>7}",
-            class.class, c.asked, c.in_time, c.late, c.refused, c.failed
-        );
-    }
-    println!(
-        "served {:.1}% of the worth in time; answers {:.0} ms (median), {:.0} ms (99th percentile); \
-         {:.2} attempts a request; {} calls of one balancer for its list in a second at most",
-        f.served * 100.0,
-        f.p50_ms,
-        f.p99_ms,
-        f.attempts,
-        f.calls_most
-    );
-    let lab = &played.lab;
-    println!("the lab: {:.1} ms late (99th percentile), {:.2} cores", lab.late_p99_ms, lab.cores);
-    if let Some(members) = &played.members {
-        let f = &members.figures;
-        println!(
-            "members: {} kills known to 99% after {:.2} s (median), {:.2} s at worst, {} never; {} leaves, {:.2} s at \
-             worst, {} taken for gone; living ones taken for gone {} times, stopped ones {} times; suspected {} times; \
-             views equal since {}, {} unequal",
-            f.kills,
-            f.known_p50_s,
-            f.known_worst_s,
-            f.unknown,
-            f.leaves,
-            f.left_worst_s,
-            f.left_as_gone,
-            f.false_gone,
-            f.false_gone_held,
-            f.suspected,
-            f.equal_since_s.map_or_else(|| "never".into(), |s| format!("{s:.1} s")),
-            f.unequal
-        );
-        println!(
-            "each sent {:.2} datagrams and {:.0} bytes a second; balancers took {:.4} cores (mean), {:.4} at most",
-            members.datagrams, members.bytes, played.balancer_cores.0, played.balancer_cores.1
-        );
-    }
-    match &played.void {
-        Some(why) => println!("VOID: {why}"),
-        None if played.broken.is_empty() => println!("all rules kept"),
-        None => println!("{} BREACHES of the rules", played.broken.len()),
-    }
-    for broken in played.broken.iter().take(10) {
-        println!("  {:?}: {}", broken.rule, broken.text);
-    }
-    for missed in &played.missed {
-        println!("  missed: {missed}");
-    }
-}
-
-/// The line that tells how a play goes on: over itself on a terminal, else one every few seconds.
-struct Shown {
-    terminal: bool,
-    length: f64,
-    faults: Vec<f64>,
-    /// Tries that each balancer had answered.
-    answered: Vec<u64>,
-    /// Lines of the table that stands on the terminal.
-    lines: usize,
-}
-
-impl Shown {
-    fn new(experiment: &Experiment) -> Self {
-        println!("{}: starting {} balancers", experiment.name, experiment.fleet.balancers);
-        let faults = experiment.faults.iter().map(|f| f.at.as_secs_f64()).collect();
-        Self {
-            terminal: std::io::stdout().is_terminal(),
-            length: experiment.length.as_secs_f64(),
-            faults,
-            answered: vec![0; experiment.fleet.balancers as usize],
-            lines: 0,
-        }
-    }
-
-    fn show(&mut self, progress: &Progress) {
-        let at = progress.at.as_secs_f64();
-        if !self.terminal && !(at as u64).is_multiple_of(5) {
-            return;
-        }
-        let begun = self.faults.iter().filter(|f| **f <= at).count();
-        let running = progress.balancers.iter().filter(|(state, _)| *state != "down").count();
-        let up = progress.upstreams.iter().filter(|row| row.state == "up").count();
-        let holds: usize = progress.upstreams.iter().map(|row| row.holds).sum();
-        let line = format!(
-            "{at:5.0} of {:.0} s  {running} balancers  {up} upstreams hold {holds} requests  {begun} of {} faults \
-             begun",
-            self.length,
-            self.faults.len()
-        );
-        if !self.terminal {
-            println!("{line}");
-            return;
-        }
-        let mut table = vec![line];
-        if progress.balancers.len() + progress.upstreams.len() <= TABLE_MOST {
-            table.extend(self.rows(progress));
-        }
-        // Back to the first line of the table before, then over it.
-        let back = if self.lines > 0 { format!("\x1b[{}A", self.lines) } else { String::new() };
-        println!("{back}{}\x1b[J", table.join("\x1b[K\n") + "\x1b[K");
-        self.lines = table.len();
-        let _ = std::io::stdout().flush();
-    }
-
-    /// One line for each process.
-    fn rows(&mut self, progress: &Progress) -> Vec<String> {
-        let mut rows = Vec::new();
-        for (k, ((state, answered), before)) in progress.balancers.iter().zip(&mut self.answered).enumerate()
-        {
-            let since = answered - std::mem::replace(before, *answered);
-            rows.push(format!("  b{k:<3} {state:8} {since:>4} answers in the last second"));
-        }
-        for row in &progress.upstreams {
-            let bar = "#".repeat((row.busy * 20.0).round().clamp(0.0, 40.0) as usize);
-            rows.push(format!("  u{:<3} {:8} {:>4} held  {bar}", row.number, row.state, row.holds));
-        }
-        rows
-    }
-}
--- a/frostkeel/src/main.rs
+++ b/frostkeel/src/main.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod lab;
+mod lab_output;
 mod members;
 mod registry;
 
