Let clients of the crossing tests leave by a shutdown, not by a drop alone

Cause: one run of the suite beside six busy loops failed in an_attempt_that_waits_for_a_connection_is_dropped_with_its_client: the request of the client that had left was sent. Not the balancer's doing, as far as can be read: where another test is just starting a process, that process holds copies of all descriptors until its program runs, and the close of a dropped connection comes only then, behind the round trip that the test takes for proof. Change: the test's clients shut their connection down, which goes out at once.

--- a/node/tests/common/node.rs
+++ b/node/tests/common/node.rs
@@ -187,6 +187,12 @@
         Self { address, reader: BufReader::new(stream) }
     }
 
+    /// Closes the connection now. A plain drop may come later: a process that another test is just starting holds
+    /// copies of all descriptors until its program runs.
+    pub fn leave(self) {
+        self.reader.get_ref().shutdown(Shutdown::Both).unwrap();
+    }
+
     /// Closes the connection with a reset.
     pub fn reset(self) {
         SockRef::from(self.reader.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
