Force changes older than the list in hand by a list of a higher version before them

Cause: the case of changes older than the list passed on the text before as well, as it used version 0, from which the next call asks for the whole list in any case. Change: each case begins from version 5, the older change bears 3.

--- a/node/tests/crossing_lists.rs
+++ b/node/tests/crossing_lists.rs
@@ -71,13 +71,14 @@
         until("it is ready again", || node.connect().exchange(&book(5000, "x")).status() == 200);
     }
     for (odd, what) in [
-        (list(2, false, &[r#"{"state":"Terminating"}"#.to_owned()]), "a change of nobody"),
-        (list(0, false, &[entry("s-0", upstream.address, "Ready")]), "a change older than the list"),
-        ("{\"rev\":2,\"all\":false,\"targets\":[\n\n".to_owned(), "half a list and a heartbeat"),
-        ("{\"rev\":2,\"all\":fal".to_owned(), "half a word"),
+        (list(6, false, &[r#"{"state":"Terminating"}"#.to_owned()]), "a change of nobody"),
+        (list(3, false, &[entry("s-0", upstream.address, "Ready")]), "a change older than the list"),
+        ("{\"rev\":6,\"all\":false,\"targets\":[\n\n".to_owned(), "half a list and a heartbeat"),
+        ("{\"rev\":6,\"all\":fal".to_owned(), "half a word"),
         ("\"rev".to_owned(), "half a string"),
     ] {
         let (_node, calls, watch) = watching(&upstream);
+        tell(&watch, &list(5, true, &[entry("s-0", upstream.address, "Ready")]));
         tell(&watch, &odd);
         let (target, _) = calls.recv_timeout(LONG).unwrap_or_else(|e| panic!("{what}: no further call: {e}"));
         assert!(target.contains("index=0"), "{what}: {target}");
