--- a/node/tests/common/node.rs
+++ b/node/tests/common/node.rs
@@ -7,6 +7,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::Receiver;
 
 pub const HEALTH: &str = "GET /health/live HTTP/1.1\r\nHost: app.svc\r\n\r\n";
 
@@ -241,3 +242,16 @@
         self.reader.read_to_end(&mut rest).is_ok() && rest.is_empty()
     }
 }
+
+/// The calls that discovery gets.
+pub type Calls = Receiver<(String, TcpStream)>;
+
+/// A balancer that watches, with its upstream, and the watch.
+pub fn watching(upstream: &Upstream) -> (Node, Calls, TcpStream) {
+    let (discovery, calls) = discovery();
+    let mut setup = Setup::with(&[upstream.address]);
+    (setup.discovery, setup.asks) = (discovery, true);
+    let node = setup.start();
+    let (_, watch) = calls.recv_timeout(LONG).expect("a watch");
+    (node, calls, watch)
+}
--- a/node/tests/crossing_instants.rs
+++ b/node/tests/crossing_instants.rs
@@ -119,11 +119,7 @@
 #[test]
 fn a_drain_told_as_requests_come_is_heeded() {
     let upstream = Upstream::start(Then::Answer(OK));
-    let (discovery, calls) = discovery();
-    let mut setup = Setup::with(&[upstream.address]);
-    (setup.discovery, setup.asks) = (discovery, true);
-    let node = setup.start();
-    let (_, watch) = calls.recv_timeout(LONG).expect("a watch");
+    let (node, _calls, watch) = watching(&upstream);
     let mut client = node.connect();
     assert_eq!(client.exchange(&look(8000)).status(), 200);
     node.stop();
@@ -144,11 +140,7 @@
 #[test]
 fn a_watch_that_ends_in_place_of_telling_is_opened_anew() {
     let upstream = Upstream::start(Then::Answer(OK));
-    let (discovery, calls) = discovery();
-    let mut setup = Setup::with(&[upstream.address]);
-    (setup.discovery, setup.asks) = (discovery, true);
-    let node = setup.start();
-    let (_, watch) = calls.recv_timeout(LONG).expect("a watch");
+    let (node, calls, watch) = watching(&upstream);
     tell(&watch, "");
     node.round_trip();
     drop(watch);
--- a/node/tests/crossing_lists.rs
+++ b/node/tests/crossing_lists.rs
@@ -8,26 +8,12 @@
 use maplehook::discovery::Discovery;
 use std::cell::RefCell;
 use std::io::Write;
-use std::net::TcpStream;
 use std::rc::Rc;
-use std::sync::mpsc::Receiver;
 use std::time::{Duration, Instant};
 
 /// Seconds after which what a silent watch missed counts as told.
 const TOLD_WITHIN: Duration = Duration::from_secs(6);
 
-type Calls = Receiver<(String, TcpStream)>;
-
-/// A balancer that watches, with its upstream, and the watch.
-fn watching(upstream: &Upstream) -> (Node, Calls, TcpStream) {
-    let (discovery, calls) = discovery();
-    let mut setup = Setup::with(&[upstream.address]);
-    (setup.discovery, setup.asks) = (discovery, true);
-    let node = setup.start();
-    let (_, watch) = calls.recv_timeout(LONG).expect("a watch");
-    (node, calls, watch)
-}
-
 /// Guards sites whose lists are pushed: what their agent has counts as told, so it is watched from the start.
 #[test]
 fn where_lists_are_pushed_the_agent_is_watched() {
--- a/node/tests/crossing_upstreams.rs
+++ b/node/tests/crossing_upstreams.rs
@@ -117,6 +117,8 @@
         };
         let (ended, mut stream) = tokio::join!(attempt(&upstreams, 1, LONG), respond);
         assert_eq!(ended.outcome, Outcome::Ok);
+        // Only a connection that has rested would be used again.
+        tokio::time::sleep(Duration::from_millis(40)).await;
         stream.write_all(late.as_bytes()).await.unwrap();
         let respond = async { requested(&listener).await.write_all(OK).await.unwrap() };
         let both = async { tokio::join!(attempt(&upstreams, 1, LONG), respond) };
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -79,6 +79,8 @@
     for n in 1..=4 {
         assert_eq!(client.exchange(&book(5000, "x")).status(), 200);
         until("the upstream has closed", || upstream.ended() == n);
+        // Only a connection that has rested would be used again.
+        std::thread::sleep(Duration::from_millis(40));
     }
     assert_eq!((upstream.seen().len(), upstream.connections()), (4, 4));
 }
--- a/node/tests/upstreams.rs
+++ b/node/tests/upstreams.rs
@@ -10,12 +10,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout_at};
 
 const ID: UpstreamId = UpstreamId(7);
 const LONG: Duration = Duration::from_secs(20);
+/// Longer than a connection rests after an answer.
+const RESTED: Duration = Duration::from_millis(40);
 
 fn outgoing() -> Outgoing {
     Outgoing {
@@ -36,6 +38,14 @@
     (upstreams, listener, place)
 }
 
+/// Answers the request on the next connection.
+async fn answer_next(listener: &TcpListener) -> TcpStream {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+    stream
+}
+
 async fn attempt(upstreams: &Upstreams, id: UpstreamId, outgoing: &Outgoing, give_up: Instant) -> Ended {
     upstreams.attempt(id, outgoing, give_up, &Cell::new(false)).await
 }
@@ -94,18 +104,14 @@
 async fn a_connection_that_has_just_been_closed_is_not_written_to() {
     let (upstreams, listener, _) = upstreams(8).await;
     for _ in 0..20 {
-        let answer = async {
-            let (mut stream, _) = listener.accept().await.unwrap();
-            assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
-            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
-            stream
-        };
+        let answer = answer_next(&listener);
         let request = outgoing();
         // Without the guard the request goes into the old connection and no new one ever comes.
         let both = async { tokio::join!(attempt(&upstreams, ID, &request, Instant::now() + LONG), answer) };
         let (ended, stream) = timeout_at(Instant::now() + LONG, both).await.expect("a new connection");
         assert_eq!(ended.outcome, Outcome::Ok);
-        // No task runs between this and the next attempt.
+        // Only a connection that has rested is used again. No task runs between its end and the next attempt.
+        tokio::time::sleep(RESTED).await;
         drop(stream);
     }
 }
@@ -118,12 +124,7 @@
     let other = UpstreamId(8);
     upstreams.place(other, &place);
     for id in [ID, other] {
-        let answer = async {
-            let (mut stream, _) = listener.accept().await.unwrap();
-            assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
-            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
-            stream
-        };
+        let answer = answer_next(&listener);
         let request = outgoing();
         let (ended, _stream) = tokio::join!(attempt(&upstreams, id, &request, Instant::now() + LONG), answer);
         assert_eq!(ended.outcome, Outcome::Ok);
