Log calls to discovery, versions taken in, state changes and closes at debug level

Need: the incident's report cannot say what the breaking instance knew. With NODE_LOG=debug the log now tells of each call to discovery (begin, head, bytes, end and why), each changed entry with its uid and id, each change of an upstream's readiness, the client's correlation id with the internal one, the upstream and time left of each attempt as it is written, clients that leave, and why a client's connection is closed.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -104,21 +104,29 @@
     pub async fn watch(&self, number: u64, mut tell: impl FnMut(ListUpdate)) {
         let ended = self.follow(number, &mut tell).await;
         if self.watches.get() != number {
+            tracing::debug!(watch = number, "watch replaced");
             return;
         }
-        if let Err(e) = ended {
-            self.warnings.warn(|| format!("watch ended: {e}"));
+        match ended {
+            Ok(()) => tracing::debug!(watch = number, "watch ended by discovery"),
+            Err(e) => {
+                tracing::debug!(watch = number, "watch failed: {e}");
+                self.warnings.warn(|| format!("watch ended: {e}"));
+            }
         }
         tell(ListUpdate::failed());
     }
 
     async fn follow(&self, number: u64, tell: &mut impl FnMut(ListUpdate)) -> Result<(), Failure> {
         let target = format!("/registry/instances?stream=1&index={}", self.rev.get());
+        tracing::debug!(watch = number, address = %self.address.get(), rev = self.rev.get(), "list call begins");
         let (_connection, mut body) = timeout(CALL_TIMEOUT, self.ask(&target)).await??;
+        tracing::debug!(watch = number, "list call answered");
         let (mut lines, mut last_line, mut answered) = (WatchLines::default(), Instant::now(), false);
         while let Some(frame) = timeout_at(last_line + SILENCE_MOST, body.frame()).await? {
             let Ok(data) = frame?.into_data() else { continue };
             lines.push(&data);
+            tracing::debug!(watch = number, bytes = data.len(), rev = self.rev.get(), "discovery sent");
             while self.watches.get() == number
                 && let Some(line) = self.next_line(&mut lines)?
             {
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::Clock;
 use crate::discovery::Discovery;
+use crate::headers::CORRELATION_ID;
 use crate::in_flight::{Answer, Asked, Attempt, Held};
 use crate::list::ListUpdate;
 use crate::tally::Tally;
@@ -173,7 +174,16 @@
                 };
                 let (class, tenant) = (asked.class.0, asked.tenant.0);
                 let left = asked.deadline.saturating_duration_since(Instant::now());
-                tracing::debug!(id = id.0, class, tenant, ?left, repeat = asked.repeat, "asked");
+                let correlation = asked.outgoing.headers.get(CORRELATION_ID);
+                tracing::debug!(
+                    id = id.0,
+                    ?correlation,
+                    class,
+                    tenant,
+                    ?left,
+                    repeat = asked.repeat,
+                    "asked"
+                );
                 core.balancer.handle(now, event, &mut actions);
             }
             Queued::AttemptEnded(id, no, ended) => {
@@ -216,6 +226,7 @@
             Queued::Gone(id) => {
                 let Some(held) = core.requests.get_mut(&id) else { return };
                 if held.reply.take().is_some() {
+                    tracing::debug!(id = id.0, "client has left");
                     core.tally.gone(held.asked.class);
                     core.balancer.handle(now, Event::RequestGone { id }, &mut actions);
                 }
--- a/node/src/list.rs
+++ b/node/src/list.rs
@@ -155,6 +155,10 @@
                 read.unreadable.get_or_insert(format!("{uid}: {why}"));
                 unreadable_entry(&uid)
             });
+            if !list.all {
+                let (id, state) = (entry.id.0, entry.place.availability);
+                tracing::debug!(rev = list.rev, uid, upstream = id, ?state, "list entry changed");
+            }
             read.entries.push(entry);
         }
         Ok(read)
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -197,7 +197,10 @@
             // The watch goes first, so that all that has come is with the server when it is told to close.
             tokio::select! {
                 biased;
-                () = left_mid_request(watch, client) => return,
+                () = left_mid_request(watch, client) => {
+                    tracing::debug!("client connection: left over a request");
+                    return;
+                }
                 ended = connection.as_mut() => {
                     if let Err(e) = ended {
                         tracing::debug!("client: {e}");
@@ -206,13 +209,17 @@
                 }
                 () = &mut close, if !closing => {
                     closing = true;
+                    tracing::debug!("client connection: told to close");
                     connection.as_mut().graceful_shutdown();
                     // Before anything more is read: what comes now would be read and never answered.
                     if poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx).is_ready())).await {
                         return;
                     }
                 }
-                () = client.is_stuck(), if closing => return,
+                () = client.is_stuck(), if closing => {
+                    tracing::debug!("client connection: closed, part of a head at most was in hand");
+                    return;
+                }
             }
         }
     }
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -5,7 +5,7 @@
 
 use crate::connection::{Connection, wire_length};
 use crate::exchange::{ExchangeError, Outgoing, exchange};
-use crate::headers::{self, LOAD, UNPROCESSED};
+use crate::headers::{self, CORRELATION_ID, LOAD, UNPROCESSED};
 use crate::pool::{IdlePool, OpenLimit};
 use crate::rate_limited::RateLimitedWarning;
 use bytes::Bytes;
@@ -142,6 +142,7 @@
         let mut known = self.known.borrow_mut();
         if place.availability == Availability::Gone {
             if let Some(upstream) = known.remove(&id) {
+                tracing::debug!(upstream = id.0, "upstream is gone");
                 upstream.retire();
             }
             return;
@@ -151,7 +152,10 @@
         if moved {
             upstream.endpoint.set(place.endpoint);
         }
-        upstream.ready.set(place.availability == Availability::Ready);
+        let ready = place.availability == Availability::Ready;
+        if upstream.ready.replace(ready) != ready {
+            tracing::debug!(upstream = id.0, ready, endpoint = ?place.endpoint, "upstream changed");
+        }
         // Connections to a process that is no more, or wants nothing new, serve nobody.
         if upstream.boot_ms.replace(place.boot_ms) != place.boot_ms || moved || !upstream.ready.get() {
             upstream.idle.clear();
@@ -163,6 +167,7 @@
         self.known.borrow_mut().retain(|id, upstream| {
             let stays = listed(*id);
             if !stays {
+                tracing::debug!(upstream = id.0, "upstream is not listed any more");
                 upstream.retire();
             }
             stays
@@ -261,6 +266,8 @@
                 return Outcome::NotSent.into();
             }
             begun.set(true);
+            let correlation = outgoing.headers.get(CORRELATION_ID);
+            tracing::debug!(?correlation, upstream = id.0, reused = used.reused, ?left, "attempt is written");
             if let Some(ended) = self.exchange(id, &upstream, used, outgoing.request(left), give_up).await {
                 return ended;
             }
