Log the life of a watch and each changed entry at the level in service

A call's begin, head and end, the version taken in and the entries of a change are some lines a call and a change, so they are logged at info; what is logged for each request stays at debug. No other change.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -66,6 +66,7 @@
             return Err("a change of an upstream that is not named".into());
         }
         self.rev.set(list.rev);
+        tracing::info!(rev = list.rev, whole = list.all, entries = list.entries.len(), "list taken in");
         Ok(list)
     }
 
@@ -104,13 +105,13 @@
     pub async fn watch(&self, number: u64, mut tell: impl FnMut(ListUpdate)) {
         let ended = self.follow(number, &mut tell).await;
         if self.watches.get() != number {
-            tracing::debug!(watch = number, "watch replaced");
+            tracing::info!(watch = number, "watch replaced");
             return;
         }
         match ended {
-            Ok(()) => tracing::debug!(watch = number, "watch ended by discovery"),
+            Ok(()) => tracing::info!(watch = number, "watch ended by discovery"),
             Err(e) => {
-                tracing::debug!(watch = number, "watch failed: {e}");
+                tracing::info!(watch = number, "watch failed: {e}");
                 self.warnings.warn(|| format!("watch ended: {e}"));
             }
         }
@@ -119,9 +120,9 @@
 
     async fn follow(&self, number: u64, tell: &mut impl FnMut(ListUpdate)) -> Result<(), Failure> {
         let target = format!("/registry/instances?stream=1&index={}", self.rev.get());
-        tracing::debug!(watch = number, address = %self.address.get(), rev = self.rev.get(), "list call begins");
+        tracing::info!(watch = number, address = %self.address.get(), rev = self.rev.get(), "list call begins");
         let (_connection, mut body) = timeout(CALL_TIMEOUT, self.ask(&target)).await??;
-        tracing::debug!(watch = number, "list call answered");
+        tracing::info!(watch = number, "list call answered");
         let (mut lines, mut last_line, mut answered) = (WatchLines::default(), Instant::now(), false);
         while let Some(frame) = timeout_at(last_line + SILENCE_MOST, body.frame()).await? {
             let Ok(data) = frame?.into_data() else { continue };
--- a/node/src/list.rs
+++ b/node/src/list.rs
@@ -157,7 +157,7 @@
             });
             if !list.all {
                 let (id, state) = (entry.id.0, entry.place.availability);
-                tracing::debug!(rev = list.rev, uid, upstream = id, ?state, "list entry changed");
+                tracing::info!(rev = list.rev, uid, upstream = id, ?state, "list entry changed");
             }
             read.entries.push(entry);
         }
