Send nothing new by a list that discovery no longer confirms, until one has come

Cause: the list in hand was sent by without end. A change counts as notified 6 s after a watch fell silent, and as soon as it is written on an answer, but a balancer whose call waited behind the others, was turned away or brought half a list went on with what it had (list_failed only chose the next call; discovery::follow dropped a broken answer as any ended watch). One list had a bound on when the next call is made, none on what happens when that brings nothing.

Change: policy/lease.rs keeps a lease on the list. It ends a grace (drain_grace_ms, less 0.2 s for a pause before the write) after 6 s of silence, or after the first byte of an answer that is not whole; then requests are refused (stale-list), no further attempt is made, and what waits for a connection is not written, until a list or a heartbeat comes, for 24 s at most. A watch that discovery itself ends starts no lease: it does so as it goes down. A line that stops for 0.5 s is given up, and the next call after part of a list is made at once, then with doubling waits.

--- a/node/src/clock.rs
+++ b/node/src/clock.rs
@@ -25,6 +25,16 @@
         BEFORE_START + self.start.elapsed()
     }
 
+    /// A moment of the system's monotonic clock on this one.
+    pub fn at(&self, instant: Instant) -> Duration {
+        BEFORE_START + instant.saturating_duration_since(self.start)
+    }
+
+    /// The moment of the system's monotonic clock at a time on this one.
+    pub fn instant(&self, at: Duration) -> Instant {
+        self.start + at.saturating_sub(BEFORE_START)
+    }
+
     /// A Unix time on this clock; the same one always comes out the same. `None`: long ago.
     pub fn at_unix_ms(&self, ms: u64) -> Option<Duration> {
         let at = (Duration::from_millis(ms) + BEFORE_START).checked_sub(self.start_unix)?;
--- a/node/src/connection.rs
+++ b/node/src/connection.rs
@@ -15,14 +15,33 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 /// Size of a connection's buffer, the longest head: peers must not fill this machine's memory.
 const BUFFER: usize = 32 * 1024;
 
+/// When the first byte came on a connection, for whoever opened it.
+#[derive(Clone, Default)]
+pub struct FirstByte(Rc<Cell<Option<Instant>>>);
+
+impl FirstByte {
+    /// When it came, if it has.
+    pub fn at(&self) -> Option<Instant> {
+        self.0.get()
+    }
+
+    fn note(&self) {
+        if self.0.get().is_none() {
+            self.0.set(Some(Instant::now()));
+        }
+    }
+}
+
 /// A stream that counts what was written to it, and gives `slot` back when its descriptor is closed.
 struct Counted<S> {
     stream: TcpStream,
     written: Rc<Cell<u64>>,
+    first_byte: FirstByte,
     _slot: S,
 }
 
@@ -41,7 +60,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.first_byte.note();
+        }
+        poll
     }
 }
 
@@ -84,10 +108,19 @@
 impl Connection {
     /// Opens one; `slot` is held until its descriptor is closed.
     pub async fn open<S: Unpin + 'static>(peer: SocketAddr, slot: S) -> io::Result<Self> {
+        Self::open_timed(peer, slot, FirstByte::default()).await
+    }
+
+    /// The same; `first_byte` learns when the first byte comes on it.
+    pub async fn open_timed<S: Unpin + 'static>(
+        peer: SocketAddr,
+        slot: S,
+        first_byte: FirstByte,
+    ) -> io::Result<Self> {
         let stream = TcpStream::connect(peer).await?;
         stream.set_nodelay(true)?;
         let written = Rc::new(Cell::new(0));
-        let io = TokioIo::new(Counted { stream, written: Rc::clone(&written), _slot: slot });
+        let io = TokioIo::new(Counted { stream, written: Rc::clone(&written), first_byte, _slot: slot });
         let (sender, connection) =
             http1::Builder::new().max_buf_size(BUFFER).handshake(io).await.map_err(io::Error::other)?;
         // How it ends shows at the sender.
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: the watch on the list of upstreams. It is the only call there is: a watch from version 0 begins with the
 //! whole list.
 
-use crate::connection::Connection;
+use crate::connection::{Connection, FirstByte};
 use crate::list::{ListReader, ListUpdate, ReadList, WatchLine, WatchLines};
 use crate::rate_limited::RateLimitedWarning;
 use bytes::Bytes;
@@ -13,6 +13,7 @@
 use lapisroute_settings::Names;
 use std::cell::{Cell, RefCell};
 use std::error::Error;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::task::AbortHandle;
@@ -21,6 +22,9 @@
 /// A watch has a line to say every 2 s. Without one for this long it is dead, whatever its connection looks like; the
 /// rest of the 6 s after which what it missed counts as told is for opening another.
 pub const SILENCE_MOST: Duration = Duration::from_millis(3000);
+/// A line that has begun and does not go on for this long has broken off: the list is called for anew while what it
+/// told may still be learned within the grace of a drain.
+const STALL_MOST: Duration = Duration::from_millis(500);
 /// How long a call may take to be answered: discovery serves one after another, and fails those that wait too long.
 const CALL_TIMEOUT: Duration = Duration::from_millis(3500);
 /// How long a connection to discovery may take.
@@ -40,6 +44,71 @@
 
 type Failure = Box<dyn Error + Send + Sync>;
 
+/// What discovery has sent, or failed to send.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ListEvent {
+    /// A list, changes, or the end of a watch.
+    Update(ListUpdate),
+    /// Nothing has come since then, and the watch or the call is given up.
+    Silent {
+        /// When something last came, or the call began.
+        since: Instant,
+    },
+    /// Part of an answer or of a line has come, and not its end.
+    Partial {
+        /// When its first part came.
+        since: Instant,
+    },
+}
+
+/// Discovery has turned a call away.
+#[derive(Debug)]
+struct Refused(StatusCode);
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "status {}", self.0)
+    }
+}
+
+impl Error for Refused {}
+
+/// How far the lines of a watch have come.
+struct Progress {
+    last_line: Instant,
+    last_byte: Instant,
+    /// Part of a line is in hand, or its first line is still to come.
+    is_partial: bool,
+}
+
+impl Progress {
+    /// The answer has begun, and owes its first line.
+    fn answered(at: Instant) -> Self {
+        Self { last_line: at, last_byte: at, is_partial: true }
+    }
+
+    fn line_ended(&mut self) {
+        self.last_line = self.last_byte;
+        self.is_partial = false;
+    }
+
+    /// Part of a line is in hand; whether it is the first part.
+    fn line_begins(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_partial, true)
+    }
+
+    /// When the watch is given up, should nothing come.
+    fn read_until(&self) -> Instant {
+        let silent = self.last_line + SILENCE_MOST;
+        if self.is_partial { silent.min(self.last_byte + STALL_MOST) } else { silent }
+    }
+
+    /// Whether it is silence for which the watch is given up, not a line that has come to a stop.
+    fn is_silent(&self) -> bool {
+        self.last_line.elapsed() >= SILENCE_MOST
+    }
+}
+
 impl Discovery {
     /// Discovery at an address; `names` turn zones and kinds into numbers.
     pub fn new(address: SocketAddr, names: Names) -> Self {
@@ -102,7 +171,7 @@
 
     /// Watches the list until the watch ends, and tells what comes; the last word is that it has failed. A watch that
     /// another has taken the place of says nothing more, though its task may still run.
-    pub async fn watch(&self, number: u64, mut tell: impl FnMut(ListUpdate)) {
+    pub async fn watch(&self, number: u64, mut tell: impl FnMut(ListEvent)) {
         let ended = self.follow(number, &mut tell).await;
         if self.watches.get() != number {
             tracing::info!(watch = number, "watch replaced");
@@ -115,32 +184,72 @@
                 self.warnings.warn(|| format!("watch ended: {e}"));
             }
         }
-        tell(ListUpdate::failed());
+        tell(ListEvent::Update(ListUpdate::failed()));
     }
 
-    async fn follow(&self, number: u64, tell: &mut impl FnMut(ListUpdate)) -> Result<(), Failure> {
-        let target = format!("/registry/instances?stream=1&index={}", self.rev.get());
-        tracing::info!(watch = number, address = %self.address.get(), rev = self.rev.get(), "list call begins");
-        let (_connection, mut body) = timeout(CALL_TIMEOUT, self.ask(&target)).await??;
+    async fn follow(&self, number: u64, tell: &mut impl FnMut(ListEvent)) -> Result<(), Failure> {
+        let rev = self.rev.get();
+        tracing::info!(watch = number, address = %self.address.get(), rev, "list call begins");
+        let (began, first_byte) = (Instant::now(), FirstByte::default());
+        let answer = match timeout(CALL_TIMEOUT, self.ask(rev, &first_byte)).await {
+            Ok(answer) => answer,
+            Err(elapsed) => {
+                tell(ListEvent::Silent { since: began });
+                Err(elapsed.into())
+            }
+        };
+        // Whatever has come of an answer was written there, unless it says that there is none.
+        if let Some(since) = first_byte.at()
+            && !answer.as_ref().is_err_and(|e| e.is::<Refused>())
+        {
+            tell(ListEvent::Partial { since });
+        }
+        let (_connection, body) = answer?;
         tracing::info!(watch = number, "list call answered");
-        let (mut lines, mut last_line, mut answered) = (WatchLines::default(), Instant::now(), false);
-        while let Some(frame) = timeout_at(last_line + SILENCE_MOST, body.frame()).await? {
-            let Ok(data) = frame?.into_data() else { continue };
+        self.follow_lines(number, body, Progress::answered(Instant::now()), tell).await
+    }
+
+    /// Reads the lines of a watch until it ends.
+    async fn follow_lines(
+        &self,
+        number: u64,
+        mut body: Incoming,
+        mut progress: Progress,
+        tell: &mut impl FnMut(ListEvent),
+    ) -> Result<(), Failure> {
+        let (mut lines, mut answered) = (WatchLines::default(), false);
+        loop {
+            let frame = match timeout_at(progress.read_until(), body.frame()).await {
+                Ok(Some(frame)) => frame?,
+                Ok(None) => return Ok(()),
+                Err(elapsed) => {
+                    if progress.is_silent() {
+                        tell(ListEvent::Silent { since: progress.last_line });
+                    }
+                    return Err(elapsed.into());
+                }
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            progress.last_byte = Instant::now();
             lines.push(&data);
             tracing::debug!(watch = number, bytes = data.len(), rev = self.rev.get(), "discovery sent");
-            while self.watches.get() == number
-                && let Some(line) = self.next_line(&mut lines)?
-            {
-                last_line = Instant::now();
+            while self.watches.get() == number {
+                let line = self.next_line(&mut lines).inspect_err(|_| {
+                    tell(ListEvent::Partial { since: progress.last_byte });
+                })?;
+                let Some(line) = line else { break };
+                progress.line_ended();
                 // A heartbeat in place of a first list says that nothing has changed.
                 let first = (!answered).then(ListUpdate::unchanged);
                 answered = true;
                 if let Some(update) = line.or(first) {
-                    tell(update);
+                    tell(ListEvent::Update(update));
                 }
             }
+            if !lines.is_empty() && progress.line_begins() {
+                tell(ListEvent::Partial { since: progress.last_byte });
+            }
         }
-        Ok(())
     }
 
     /// The next line of a watch, with what it tells of the list. One that can't be read may have told of a drain, so
@@ -157,13 +266,16 @@
         read.inspect_err(|_| self.rev.set(0))
     }
 
-    async fn ask(&self, target: &str) -> Result<(Connection, Incoming), Failure> {
+    /// Calls for a watch on what is newer than a version; `first_byte` learns when its answer begins.
+    async fn ask(&self, rev: u64, first_byte: &FirstByte) -> Result<(Connection, Incoming), Failure> {
         let address = self.address.get();
-        let mut connection = timeout(CONNECT_TIMEOUT, Connection::open(address, ())).await??;
-        let request = Request::get(target).header(HOST, address.to_string());
-        let response = connection.send(request.body(Full::<Bytes>::default())?).await?;
+        let opened = Connection::open_timed(address, (), first_byte.clone());
+        let mut connection = timeout(CONNECT_TIMEOUT, opened).await??;
+        let request = Request::get(format!("/registry/instances?stream=1&index={rev}"));
+        let request = request.header(HOST, address.to_string()).body(Full::<Bytes>::default())?;
+        let response = connection.send(request).await?;
         if response.status() != StatusCode::OK {
-            return Err(format!("status {}", response.status()).into());
+            return Err(Refused(response.status()).into());
         }
         Ok((connection, response.into_body()))
     }
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -5,10 +5,11 @@
 //! is never entered twice; tasks only ever add to the queue.
 
 use crate::clock::Clock;
-use crate::discovery::Discovery;
+use crate::discovery::{Discovery, ListEvent};
 use crate::headers::CORRELATION_ID;
 use crate::in_flight::{Answer, Asked, Attempt, Held};
 use crate::list::ListUpdate;
+use crate::pending::Pending;
 use crate::tally::Tally;
 use crate::upstream::{Ended, Upstreams};
 use lapisroute::{
@@ -29,7 +30,7 @@
 
 /// What is told to the module next.
 enum Queued {
-    Fleet(ListUpdate),
+    List(ListEvent),
     Asked(RequestId),
     AttemptEnded(RequestId, AttemptNo, Ended),
     ProbeEnded(UpstreamId, Duration, Ended),
@@ -80,7 +81,7 @@
         spawn_local(async move { sweeper.upstreams.sweep().await });
         let teller = Rc::clone(&driver);
         spawn_local(async move { teller.tell_standing().await });
-        driver.happened(Queued::Fleet(known));
+        driver.happened(Queued::List(ListEvent::Update(known)));
         driver
     }
 
@@ -99,7 +100,12 @@
             id
         };
         self.happened(Queued::Asked(id));
-        Pending { driver: Rc::clone(self), id, answer: Some(answer) }
+        Pending::new(Rc::clone(self), id, answer)
+    }
+
+    /// The client of a request that is owed its answer has gone.
+    pub(crate) fn client_has_left(self: &Rc<Self>, id: RequestId) {
+        self.happened(Queued::Gone(id));
     }
 
     /// Discovery has moved: a watch goes on there.
@@ -114,7 +120,7 @@
         let driver = Rc::clone(self);
         let number = self.discovery.begin_watch();
         let watch = spawn_local(async move {
-            driver.discovery.watch(number, |update| driver.happened(Queued::Fleet(update))).await;
+            driver.discovery.watch(number, |event| driver.happened(Queued::List(event))).await;
         });
         self.discovery.watched_by(watch.abort_handle());
     }
@@ -155,11 +161,7 @@
         let now = self.clock.now();
         let mut actions = std::mem::take(&mut core.actions);
         match event {
-            Queued::Fleet(update) => {
-                let listed = self.fleet(&update);
-                let event = Event::Fleet { scope: update.scope, listed: &listed };
-                core.balancer.handle(now, event, &mut actions);
-            }
+            Queued::List(event) => self.list_event(core, now, event, &mut actions),
             Queued::Asked(id) => {
                 let Some(held) = core.requests.get(&id) else { return };
                 let asked = &held.asked;
@@ -240,6 +242,24 @@
         core.actions = actions;
     }
 
+    /// Tells the module what discovery has sent or not sent, and the connections for how long its list is sent by.
+    fn list_event(&self, core: &mut Core, now: Duration, event: ListEvent, actions: &mut Vec<Action>) {
+        match event {
+            ListEvent::Update(update) => {
+                let listed = self.fleet(&update);
+                core.balancer.handle(now, Event::Fleet { scope: update.scope, listed: &listed }, actions);
+            }
+            ListEvent::Silent { since } => {
+                core.balancer.handle(now, Event::ListSilent { since: self.clock.at(since) }, actions);
+            }
+            ListEvent::Partial { since } => {
+                core.balancer.handle(now, Event::ListPartial { since: self.clock.at(since) }, actions);
+            }
+        }
+        let held = core.balancer.sends_held();
+        self.upstreams.hold_sends(held.map(|h| self.clock.instant(h.from)..self.clock.instant(h.until)));
+    }
+
     /// Applies update to the connections and words them for the module.
     fn fleet(&self, update: &ListUpdate) -> Vec<Listed> {
         if matches!(update.scope, FleetScope::Full | FleetScope::Cached) {
@@ -354,28 +374,3 @@
         }
     }
 }
-
-/// A request that is owed its final answer.
-pub struct Pending {
-    driver: Rc<Driver>,
-    id: RequestId,
-    answer: Option<oneshot::Receiver<Answer>>,
-}
-
-impl Pending {
-    /// The final answer.
-    pub async fn answer(mut self) -> Answer {
-        let Some(answer) = &mut self.answer else { return Answer::Failed };
-        let answer = answer.await;
-        self.answer = None;
-        answer.unwrap_or(Answer::Failed)
-    }
-}
-
-impl Drop for Pending {
-    fn drop(&mut self) {
-        if self.answer.take().is_some() {
-            self.driver.happened(Queued::Gone(self.id));
-        }
-    }
-}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod in_flight;
 pub mod list;
 pub mod members;
+pub mod pending;
 pub mod pool;
 pub mod process;
 pub mod rate_limited;
--- a/node/src/list.rs
+++ b/node/src/list.rs
@@ -226,6 +226,11 @@
 }
 
 impl WatchLines {
+    /// Whether no part of a line is in hand.
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
     /// Takes in what has come.
     pub fn push(&mut self, data: &[u8]) {
         self.pending.extend_from_slice(data);
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -17,6 +17,7 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::yield_now;
@@ -118,6 +119,8 @@
     idle_most: Duration,
     reports: Reports,
     report_fields: Vec<LoadField>,
+    /// When nothing new may be sent, as the list may be out of date.
+    sends_held: RefCell<Option<Range<Instant>>>,
     report_warnings: RateLimitedWarning,
     answer_warnings: RateLimitedWarning,
 }
@@ -132,6 +135,7 @@
             idle_most: settings.conn_idle.mul_f64(IDLE_SHARE),
             reports: settings.reports,
             report_fields: settings.report_fields.clone(),
+            sends_held: RefCell::default(),
             report_warnings: RateLimitedWarning::default(),
             answer_warnings: RateLimitedWarning::default(),
         }
@@ -191,6 +195,15 @@
         }
     }
 
+    /// Begins no attempt in this span.
+    pub fn hold_sends(&self, span: Option<Range<Instant>>) {
+        self.sends_held.replace(span);
+    }
+
+    fn holds_sends(&self, now: Instant) -> bool {
+        self.sends_held.borrow().as_ref().is_some_and(|span| span.contains(&now))
+    }
+
     /// Connections open now, to all of them together.
     pub fn open_connections(&self) -> usize {
         self.open.open()
@@ -259,9 +272,10 @@
                 Ok(used) => used,
                 Err(outcome) => return outcome.into(),
             };
-            let left = give_up.saturating_duration_since(Instant::now());
+            let now = Instant::now();
+            let left = give_up.saturating_duration_since(now);
             // The moment of writing: it may have begun to drain while the connection was made.
-            if !upstream.ready.get() || left.is_zero() {
+            if !upstream.ready.get() || left.is_zero() || self.holds_sends(now) {
                 upstream.put_back(used);
                 return Outcome::NotSent.into();
             }
--- a/node/tests/common/peers.rs
+++ b/node/tests/common/peers.rs
@@ -104,6 +104,9 @@
             if let Some(message) = read {
                 let target = message.line.split(' ').nth(1).unwrap_or_default().to_owned();
                 (&stream).write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+                // A watch begins with what has changed after the version that is asked about.
+                let rev = target.split("index=").nth(1).and_then(|rev| rev.parse().ok()).unwrap_or(0);
+                tell(&stream, &list(rev, false, &[]));
                 let _ = calls.send((target, stream));
             }
         }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -66,6 +66,7 @@
     ask_every_ms: Option<f64>,
     cold_from: Option<f64>,
     cold_ms: Option<f64>,
+    drain_grace_ms: Option<f64>,
     fall_multiple: Option<f64>,
     overload_for_ms: Option<f64>,
 }
@@ -209,6 +210,7 @@
         ask_for_fleet: raw.discovery.as_deref() == Some("subscribe"),
         own_agent: base.own_agent,
         ask_every: time(rules.ask_every_ms, base.ask_every),
+        drain_grace: time(rules.drain_grace_ms, base.drain_grace),
         cold_from: rules.cold_from.unwrap_or(base.cold_from),
         cold_time: time(rules.cold_ms, base.cold_time),
         fall_multiple: rules.fall_multiple.unwrap_or(base.fall_multiple),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -129,11 +129,13 @@
     TurnedAway,
     /// Its last attempt was not sent: no connection was to be had, or the process is about to end.
     NotSent,
+    /// Discovery has not confirmed the list of upstreams for so long that any of them may drain by now.
+    StaleList,
 }
 
 impl Loss {
     /// All of them, in the order of their numbers.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::Unknown,
         Self::Token,
         Self::Room,
@@ -145,6 +147,7 @@
         Self::Error,
         Self::TurnedAway,
         Self::NotSent,
+        Self::StaleList,
     ];
 
     /// Its word in the operators' log.
@@ -161,6 +164,7 @@
             Self::Error => "error",
             Self::TurnedAway => "turned-away",
             Self::NotSent => "not-sent",
+            Self::StaleList => "stale-list",
         }
     }
 }
@@ -175,6 +179,16 @@
         /// The entries.
         listed: &'a [Listed],
     },
+    /// Nothing has come from discovery for so long that its watch, or a call for one, counts as broken.
+    ListSilent {
+        /// When something last came, or when the call was made.
+        since: Duration,
+    },
+    /// Part of a list has come, and not its end: discovery has written it, and it may break off.
+    ListPartial {
+        /// When its first part came.
+        since: Duration,
+    },
     /// A client's request has come.
     Request {
         /// Its id.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,7 +74,7 @@
 mod stats;
 
 pub use interface::*;
-pub use policy::Balancer;
+pub use policy::{Balancer, SendsHeld};
 
 /// README's embedding example, kept honest by the tests.
 #[doc = include_str!("../README.md")]
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -53,6 +53,11 @@
         let tenant = tenant.min(self.buckets.len() - 1);
         let bucket = &mut self.buckets[tenant];
         bucket.arrivals += 1.0;
+        if self.list_is_stale() {
+            self.refuse(id, left, Loss::StaleList);
+            return;
+        }
+        let bucket = &self.buckets[tenant];
         if bucket.tokens < 1.0 {
             self.refuse(id, left, if self.room > 0.0 { Loss::Token } else { Loss::Room });
             return;
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -53,6 +53,9 @@
         let least = if crowd < CROWD_MOST { WAIT_LEAST } else { CROWD_MOST };
         let left = (TOLD_WITHIN - CALL_TAKES - spent).max(least);
         let wait = if self.set.own_agent { WAIT_LEAST } else { doubling.max(crowd).min(left) };
+        // An answer broke off: nothing may be sent by the list in hand soon, and this befell nobody else.
+        let soon = WAIT_LEAST * f64::from(1u32 << self.ask_failures.min(4));
+        let wait = if self.lease.is_partial() { wait.min(soon) } else { wait };
         self.ask_failures += 1;
         self.watching = false;
         self.ask_at = self.at + wait * (0.1 + 0.9 * self.rng.f64());
@@ -65,6 +68,7 @@
         }
         if scope != FleetScope::Cached {
             (self.watching, self.ask_failures) = (true, 0);
+            self.renew_lease();
         }
         let mut changed = scope != FleetScope::Changes;
         if changed {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod attempts;
 mod doubt;
+mod lease;
 mod list;
 mod turns;
 
@@ -18,6 +19,7 @@
 };
 use crate::state::{Bucket, Learned, Request, Upstream};
 use crate::stats::Chance;
+pub use lease::SendsHeld;
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
@@ -119,6 +121,7 @@
     ask_at: f64,
     asked_at: f64,
     ask_failures: u32,
+    lease: lease::ListLease,
 }
 
 impl Balancer {
@@ -203,6 +206,8 @@
         }
         match event {
             Event::Fleet { scope, listed } => self.fleet(scope, listed),
+            Event::ListSilent { since } => self.lease.silent(since.as_secs_f64()),
+            Event::ListPartial { since } => self.lease.partial(since.as_secs_f64()),
             Event::Request { id, class, tenant, time_left, repeat, .. } => {
                 self.wanted += f64::from(u8::from(self.set.repeats_marked && !repeat));
                 self.request(id, usize::from(class.0), tenant.0 as usize, time_left, repeat);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -152,6 +152,8 @@
     pub own_agent: bool,
     /// A balancer silent for this long counts as told of all that was listed then.
     pub ask_every: Duration,
+    /// Sends to an upstream that drains or is gone must have stopped so long after the balancer was notified.
+    pub drain_grace: Duration,
     /// A starting upstream can do at least this share of its work ...
     pub cold_from: f64,
     /// ... and all of it after this long.
@@ -206,6 +208,7 @@
             ask_for_fleet: false,
             own_agent: false,
             ask_every: Duration::from_secs(10),
+            drain_grace: Duration::from_secs(1),
             cold_from: 0.3,
             cold_time: Duration::from_secs(10),
             fall_multiple: 3.0,
