Take a watch that was ended, refused calls and a move for doubts of the list as well

Cause: discovery ends a watch in place of telling, and what that watch missed counts as notified 2.0 s later; where many balancers call again at once, calls wait for 3 s or are turned away, and the list was sent by all the while. That is what the incident's figures show: its breaks come 1.19 and 1.36 s after a moment of the instance's own, with watches that discovery had ended some 2 s before.

Change: policy/lease.rs keeps five doubts, each with the time after which a change counts as notified: silence and refused calls 6 s, an ended watch 2 s, a move (SIGHUP) 4 s, part of an answer at once. What tells an outage from a crowd is how calls end: down, they wait in vain or meet nobody, and those doubts are over; up and crowded, they are turned away at once. A site's own agent keeps only the doubt of an answer in part.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -44,21 +44,21 @@
 
 type Failure = Box<dyn Error + Send + Sync>;
 
-/// What discovery has sent, or failed to send.
+/// What has come of a watch, or of the call for one. The moments are those of the monotonic clock.
 #[derive(Clone, Debug, PartialEq)]
-pub enum ListEvent {
-    /// A list, changes, or the end of a watch.
+pub enum WatchEvent {
+    /// A list, changes, or that the watch is over.
     Update(ListUpdate),
     /// Nothing has come since then, and the watch or the call is given up.
-    Silent {
-        /// When something last came, or the call began.
-        since: Instant,
-    },
-    /// Part of an answer or of a line has come, and not its end.
-    Partial {
-        /// When its first part came.
-        since: Instant,
-    },
+    Silent(Instant),
+    /// Discovery has ended the watch.
+    Ended,
+    /// Part of an answer or of a line has come, the first of it then, and not its end.
+    Partial(Instant),
+    /// The call made then was turned away.
+    Refused(Instant),
+    /// The call made then has met nobody, or was ended without an answer.
+    Unreachable(Instant),
 }
 
 /// Discovery has turned a call away.
@@ -73,6 +73,18 @@
 
 impl Error for Refused {}
 
+/// Discovery has taken a call and says nothing.
+#[derive(Debug)]
+struct Unanswered;
+
+impl fmt::Display for Unanswered {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a call was not answered")
+    }
+}
+
+impl Error for Unanswered {}
+
 /// How far the lines of a watch have come.
 struct Progress {
     last_line: Instant,
@@ -171,7 +183,12 @@
 
     /// Watches the list until the watch ends, and tells what comes; the last word is that it has failed. A watch that
     /// another has taken the place of says nothing more, though its task may still run.
-    pub async fn watch(&self, number: u64, mut tell: impl FnMut(ListEvent)) {
+    pub async fn watch(&self, number: u64, mut tell: impl FnMut(WatchEvent)) {
+        let mut tell = |event| {
+            if self.watches.get() == number {
+                tell(event);
+            }
+        };
         let ended = self.follow(number, &mut tell).await;
         if self.watches.get() != number {
             tracing::info!(watch = number, "watch replaced");
@@ -184,25 +201,26 @@
                 self.warnings.warn(|| format!("watch ended: {e}"));
             }
         }
-        tell(ListEvent::Update(ListUpdate::failed()));
+        tell(WatchEvent::Update(ListUpdate::failed()));
     }
 
-    async fn follow(&self, number: u64, tell: &mut impl FnMut(ListEvent)) -> Result<(), Failure> {
+    async fn follow(&self, number: u64, tell: &mut impl FnMut(WatchEvent)) -> Result<(), Failure> {
         let rev = self.rev.get();
         tracing::info!(watch = number, address = %self.address.get(), rev, "list call begins");
         let (began, first_byte) = (Instant::now(), FirstByte::default());
         let answer = match timeout(CALL_TIMEOUT, self.ask(rev, &first_byte)).await {
             Ok(answer) => answer,
-            Err(elapsed) => {
-                tell(ListEvent::Silent { since: began });
-                Err(elapsed.into())
+            Err(_) => {
+                tell(WatchEvent::Silent(began));
+                Err(Unanswered.into())
             }
         };
-        // Whatever has come of an answer was written there, unless it says that there is none.
-        if let Some(since) = first_byte.at()
-            && !answer.as_ref().is_err_and(|e| e.is::<Refused>())
-        {
-            tell(ListEvent::Partial { since });
+        match (&answer, first_byte.at()) {
+            (Err(e), _) if e.is::<Refused>() => tell(WatchEvent::Refused(began)),
+            // Whatever has come of an answer was written there.
+            (_, Some(since)) => tell(WatchEvent::Partial(since)),
+            (Err(e), None) if !e.is::<Unanswered>() => tell(WatchEvent::Unreachable(began)),
+            _ => (),
         }
         let (_connection, body) = answer?;
         tracing::info!(watch = number, "list call answered");
@@ -215,16 +233,19 @@
         number: u64,
         mut body: Incoming,
         mut progress: Progress,
-        tell: &mut impl FnMut(ListEvent),
+        tell: &mut impl FnMut(WatchEvent),
     ) -> Result<(), Failure> {
         let (mut lines, mut answered) = (WatchLines::default(), false);
         loop {
             let frame = match timeout_at(progress.read_until(), body.frame()).await {
-                Ok(Some(frame)) => frame?,
-                Ok(None) => return Ok(()),
+                Ok(Some(Ok(frame))) => frame,
+                Ok(ended) => {
+                    tell(WatchEvent::Ended);
+                    return ended.transpose().map(|_| ()).map_err(Failure::from);
+                }
                 Err(elapsed) => {
                     if progress.is_silent() {
-                        tell(ListEvent::Silent { since: progress.last_line });
+                        tell(WatchEvent::Silent(progress.last_line));
                     }
                     return Err(elapsed.into());
                 }
@@ -235,7 +256,7 @@
             tracing::debug!(watch = number, bytes = data.len(), rev = self.rev.get(), "discovery sent");
             while self.watches.get() == number {
                 let line = self.next_line(&mut lines).inspect_err(|_| {
-                    tell(ListEvent::Partial { since: progress.last_byte });
+                    tell(WatchEvent::Partial(progress.last_byte));
                 })?;
                 let Some(line) = line else { break };
                 progress.line_ended();
@@ -243,11 +264,11 @@
                 let first = (!answered).then(ListUpdate::unchanged);
                 answered = true;
                 if let Some(update) = line.or(first) {
-                    tell(ListEvent::Update(update));
+                    tell(WatchEvent::Update(update));
                 }
             }
             if !lines.is_empty() && progress.line_begins() {
-                tell(ListEvent::Partial { since: progress.last_byte });
+                tell(WatchEvent::Partial(progress.last_byte));
             }
         }
     }
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -5,7 +5,7 @@
 //! is never entered twice; tasks only ever add to the queue.
 
 use crate::clock::Clock;
-use crate::discovery::{Discovery, ListEvent};
+use crate::discovery::{Discovery, WatchEvent};
 use crate::headers::CORRELATION_ID;
 use crate::in_flight::{Answer, Asked, Attempt, Held};
 use crate::list::ListUpdate;
@@ -13,7 +13,8 @@
 use crate::tally::Tally;
 use crate::upstream::{Ended, Upstreams};
 use lapisroute::{
-    Action, AttemptNo, Balancer, Event, FleetScope, Listed, Loss, Outcome, RequestId, TimerId, UpstreamId,
+    Action, AttemptNo, Balancer, Event, FleetScope, ListEvent, Listed, Loss, Outcome, RequestId, TimerId,
+    UpstreamId,
 };
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
@@ -30,7 +31,8 @@
 
 /// What is told to the module next.
 enum Queued {
-    List(ListEvent),
+    Watch(WatchEvent),
+    Moved,
     Asked(RequestId),
     AttemptEnded(RequestId, AttemptNo, Ended),
     ProbeEnded(UpstreamId, Duration, Ended),
@@ -81,7 +83,7 @@
         spawn_local(async move { sweeper.upstreams.sweep().await });
         let teller = Rc::clone(&driver);
         spawn_local(async move { teller.tell_standing().await });
-        driver.happened(Queued::List(ListEvent::Update(known)));
+        driver.happened(Queued::Watch(WatchEvent::Update(known)));
         driver
     }
 
@@ -111,6 +113,7 @@
     /// Discovery has moved: a watch goes on there.
     pub fn discovery_at(self: &Rc<Self>, address: SocketAddr) {
         if self.discovery.move_to(address) {
+            self.happened(Queued::Moved);
             self.watch();
         }
     }
@@ -120,7 +123,7 @@
         let driver = Rc::clone(self);
         let number = self.discovery.begin_watch();
         let watch = spawn_local(async move {
-            driver.discovery.watch(number, |event| driver.happened(Queued::List(event))).await;
+            driver.discovery.watch(number, |event| driver.happened(Queued::Watch(event))).await;
         });
         self.discovery.watched_by(watch.abort_handle());
     }
@@ -161,7 +164,11 @@
         let now = self.clock.now();
         let mut actions = std::mem::take(&mut core.actions);
         match event {
-            Queued::List(event) => self.list_event(core, now, event, &mut actions),
+            Queued::Watch(event) => self.watch_event(core, now, event, &mut actions),
+            Queued::Moved => {
+                core.balancer.handle(now, Event::List(ListEvent::Moved), &mut actions);
+                self.hold_sends(core);
+            }
             Queued::Asked(id) => {
                 let Some(held) = core.requests.get(&id) else { return };
                 let asked = &held.asked;
@@ -242,20 +249,27 @@
         core.actions = actions;
     }
 
-    /// Tells the module what discovery has sent or not sent, and the connections for how long its list is sent by.
-    fn list_event(&self, core: &mut Core, now: Duration, event: ListEvent, actions: &mut Vec<Action>) {
-        match event {
-            ListEvent::Update(update) => {
-                let listed = self.fleet(&update);
-                core.balancer.handle(now, Event::Fleet { scope: update.scope, listed: &listed }, actions);
+    /// Tells the module what has come of a watch, and the connections for how long its list is sent by.
+    fn watch_event(&self, core: &mut Core, now: Duration, event: WatchEvent, actions: &mut Vec<Action>) {
+        let listed;
+        let event = match event {
+            WatchEvent::Update(update) => {
+                listed = self.fleet(&update);
+                Event::Fleet { scope: update.scope, listed: &listed }
             }
-            ListEvent::Silent { since } => {
-                core.balancer.handle(now, Event::ListSilent { since: self.clock.at(since) }, actions);
+            WatchEvent::Silent(since) => Event::List(ListEvent::Silent { since: self.clock.at(since) }),
+            WatchEvent::Ended => Event::List(ListEvent::Ended),
+            WatchEvent::Partial(since) => Event::List(ListEvent::Partial { since: self.clock.at(since) }),
+            WatchEvent::Refused(called) => Event::List(ListEvent::Refused { called: self.clock.at(called) }),
+            WatchEvent::Unreachable(called) => {
+                Event::List(ListEvent::Unreachable { called: self.clock.at(called) })
             }
-            ListEvent::Partial { since } => {
-                core.balancer.handle(now, Event::ListPartial { since: self.clock.at(since) }, actions);
-            }
-        }
+        };
+        core.balancer.handle(now, event, actions);
+        self.hold_sends(core);
+    }
+
+    fn hold_sends(&self, core: &Core) {
         let held = core.balancer.sends_held();
         self.upstreams.hold_sends(held.map(|h| self.clock.instant(h.from)..self.clock.instant(h.until)));
     }
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -39,6 +39,9 @@
         Some(members) => Some(Members::start(members, config.seed).await?),
         None => None,
     };
+    let (ask_every, drain_grace) = (config.site.settings.ask_every, config.site.settings.drain_grace);
+    let pushed = config.site.settings.own_agent;
+    tracing::info!(?ask_every, ?drain_grace, pushed, "what the settings say of the list");
     tracing::info!(listen = %listener.local_addr()?, upstreams = known.entries.len(), "serving");
     let tally = Tally::new(&config.site);
     let driver = Driver::start(balancer, tally, upstreams, discovery, known);
--- a/node/tests/crossing_lists.rs
+++ b/node/tests/crossing_lists.rs
@@ -5,7 +5,7 @@
 use common::*;
 use lapisroute::FleetScope;
 use lapisroute_settings::Names;
-use maplehook::discovery::{Discovery, ListEvent};
+use maplehook::discovery::{Discovery, WatchEvent};
 use std::cell::RefCell;
 use std::io::Write;
 use std::rc::Rc;
@@ -155,9 +155,9 @@
     let (watch, tells) = (Rc::clone(&watched), Rc::clone(&told));
     let task = tokio::task::spawn_local(async move {
         let update = |event| match event {
-            ListEvent::Update(update) => tells.borrow_mut().push(update.scope),
-            ListEvent::Partial { .. } => (),
-            ListEvent::Silent { .. } => panic!("it is not silent"),
+            WatchEvent::Update(update) => tells.borrow_mut().push(update.scope),
+            WatchEvent::Partial(_) => (),
+            other => panic!("{other:?}"),
         };
         watch.watch(number, update).await;
     });
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -169,6 +169,35 @@
     }
 }
 
+/// What befell the watch on the list of upstreams, or a call for one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListEvent {
+    /// Nothing has come for so long that the watch, or the call, counts as broken.
+    Silent {
+        /// When something last came, or when the call was made.
+        since: Duration,
+    },
+    /// Discovery has ended the watch: in place of telling, or as it goes down.
+    Ended,
+    /// Part of a list has come, and not its end: discovery has written it, and it may break off.
+    Partial {
+        /// When its first part came.
+        since: Duration,
+    },
+    /// Discovery has turned a call away.
+    Refused {
+        /// When it was made.
+        called: Duration,
+    },
+    /// A call has met nobody, or was ended without an answer.
+    Unreachable {
+        /// When it was made.
+        called: Duration,
+    },
+    /// Discovery is at another address from now on.
+    Moved,
+}
+
 /// Something the embedder tells [`Balancer`](crate::Balancer).
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event<'a> {
@@ -179,16 +208,9 @@
         /// The entries.
         listed: &'a [Listed],
     },
-    /// Nothing has come from discovery for so long that its watch, or a call for one, counts as broken.
-    ListSilent {
-        /// When something last came, or when the call was made.
-        since: Duration,
-    },
-    /// Part of a list has come, and not its end: discovery has written it, and it may break off.
-    ListPartial {
-        /// When its first part came.
-        since: Duration,
-    },
+    /// What befell the watch on the list, or a call for one. A watch that is over is told of by
+    /// [`FleetScope::Failed`] as well.
+    List(ListEvent),
     /// A client's request has come.
     Request {
         /// Its id.
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -16,6 +16,8 @@
 const TOLD_WITHIN: f64 = 6.0;
 const CALL_TAKES: f64 = 1.5;
 const SILENCE: f64 = 3.0;
+/// The longest wait after a call that was turned away at once, where few balancers call.
+const REFUSED_WAIT: f64 = 2.0;
 /// The shortest wait before a further call, and the longest over which many balancers spread theirs.
 const WAIT_LEAST: f64 = 0.25;
 const CROWD_MOST: f64 = 3.0;
@@ -55,7 +57,9 @@
         let wait = if self.set.own_agent { WAIT_LEAST } else { doubling.max(crowd).min(left) };
         // An answer broke off: nothing may be sent by the list in hand soon, and this befell nobody else.
         let soon = WAIT_LEAST * f64::from(1u32 << self.ask_failures.min(4));
-        let wait = if self.lease.is_partial() { wait.min(soon) } else { wait };
+        let wait = if self.list_is_partial() { wait.min(soon) } else { wait };
+        // Turning calls away costs a crowded service time as well: none is repeated soon, and none late.
+        let wait = if self.list_calls_are_refused() { wait.min(crowd.max(REFUSED_WAIT)) } else { wait };
         self.ask_failures += 1;
         self.watching = false;
         self.ask_at = self.at + wait * (0.1 + 0.9 * self.rng.f64());
@@ -68,8 +72,8 @@
         }
         if scope != FleetScope::Cached {
             (self.watching, self.ask_failures) = (true, 0);
-            self.renew_lease();
         }
+        self.renew_lease();
         let mut changed = scope != FleetScope::Changes;
         if changed {
             // What a full list no longer names is gone.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -206,8 +206,7 @@
         }
         match event {
             Event::Fleet { scope, listed } => self.fleet(scope, listed),
-            Event::ListSilent { since } => self.lease.silent(since.as_secs_f64()),
-            Event::ListPartial { since } => self.lease.partial(since.as_secs_f64()),
+            Event::List(event) => self.list_event(event),
             Event::Request { id, class, tenant, time_left, repeat, .. } => {
                 self.wanted += f64::from(u8::from(self.set.repeats_marked && !repeat));
                 self.request(id, usize::from(class.0), tenant.0 as usize, time_left, repeat);
--- a/tests/list_lease.rs
+++ b/tests/list_lease.rs
@@ -107,7 +107,7 @@
         now += STEP;
         if now == SILENCE {
             for bench in &mut fleet {
-                bench.tell(Event::ListSilent { since: Duration::ZERO });
+                bench.tell(Event::List(ListEvent::Silent { since: Duration::ZERO }));
                 bench.tell(Event::Fleet { scope: FleetScope::Failed, listed: &[] });
             }
         }
@@ -176,11 +176,14 @@
         attempted
     };
     for (event, ends) in [
-        (Event::ListSilent { since: Duration::ZERO }, NOTIFIED_WITHIN + GRACE),
-        (Event::ListPartial { since: Duration::ZERO }, GRACE),
+        (ListEvent::Silent { since: Duration::ZERO }, NOTIFIED_WITHIN + GRACE),
+        (ListEvent::Refused { called: Duration::ZERO }, NOTIFIED_WITHIN + GRACE),
+        (ListEvent::Moved, 4 * SECOND + GRACE),
+        (ListEvent::Ended, 2 * SECOND + GRACE),
+        (ListEvent::Partial { since: Duration::ZERO }, GRACE),
     ] {
         let mut bench = balancer(3, 0);
-        bench.tell(event.clone());
+        bench.tell(Event::List(event));
         bench.run(ends - ms(300));
         assert!(answered(&mut bench), "{event:?}: still sent by");
         // A pause of 0.15 s before the write is left for.
@@ -190,19 +193,25 @@
         assert!(held.from <= ends - ms(150) && held.until > ends, "{held:?}");
         // Calls that fail renew nothing, and neither does a later silence.
         bench.tell(Event::Fleet { scope: FleetScope::Failed, listed: &[] });
-        bench.tell(Event::ListSilent { since: bench.now });
+        bench.tell(Event::List(ListEvent::Silent { since: bench.now }));
         assert!(!answered(&mut bench));
         bench.tell(Event::Fleet { scope: FleetScope::Changes, listed: &[] });
         assert!(answered(&mut bench), "{event:?}: a heartbeat renews it");
         assert_eq!(bench.balancer.sends_held(), None);
     }
-    // A watch that discovery ends is no doubt: while it is down it is told of nothing.
-    let mut bench = balancer(3, 0);
-    bench.tell(Event::Fleet { scope: FleetScope::Failed, listed: &[] });
-    bench.run(60 * SECOND);
-    assert!(answered(&mut bench));
+    // Calls that wait in vain, or meet nobody, tell of a discovery that is down and knows of nothing.
+    for down in [ListEvent::Refused { called: 2 * SECOND }, ListEvent::Unreachable { called: 2 * SECOND }] {
+        let mut bench = balancer(3, 0);
+        bench.tell(Event::List(ListEvent::Ended));
+        bench.run(5 * SECOND);
+        assert!(!answered(&mut bench));
+        bench.tell(Event::List(down));
+        bench.run(60 * SECOND);
+        assert!(answered(&mut bench), "{down:?}");
+    }
     // Who is cut off for very long serves with what it has.
-    bench.tell(Event::ListSilent { since: bench.now });
+    let mut bench = balancer(3, 0);
+    bench.tell(Event::List(ListEvent::Silent { since: bench.now }));
     bench.run(40 * SECOND);
     assert!(answered(&mut bench));
 }
@@ -211,7 +220,7 @@
 #[test]
 fn an_attempt_that_fails_after_the_lease_is_not_followed_by_another() {
     let mut bench = balancer(3, 0);
-    bench.tell(Event::ListPartial { since: Duration::ZERO });
+    bench.tell(Event::List(ListEvent::Partial { since: Duration::ZERO }));
     bench.run(ms(700));
     let id = bench.request(0, 0, ms(1000));
     assert!(bench.at(id, 0).is_some());
