--- a/node/src/clock.rs
+++ b/node/src/clock.rs
@@ -35,10 +35,10 @@
         self.start + at.saturating_sub(BEFORE_START)
     }
 
-    /// A Unix time on this clock; the same one always comes out the same. `None`: long ago.
+    /// A Unix time on this clock, by the wall clock at the start; the same one always comes out the same, and may lie
+    /// ahead. `None`: long ago.
     pub fn at_unix_ms(&self, ms: u64) -> Option<Duration> {
         let at = (Duration::from_millis(ms) + BEFORE_START).checked_sub(self.start_unix)?;
-        // Not in the future, should clocks differ.
-        (!at.is_zero()).then(|| at.min(self.now()))
+        (!at.is_zero()).then_some(at)
     }
 }
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -10,6 +10,7 @@
 use crate::in_flight::{Answer, Asked, Attempt, Held};
 use crate::list::ListUpdate;
 use crate::pending::Pending;
+use crate::starts::Starts;
 use crate::tally::Tally;
 use crate::upstream::{Ended, Upstreams};
 use lapisroute::{
@@ -55,6 +56,7 @@
     queue: RefCell<VecDeque<Queued>>,
     playing: Cell<bool>,
     upstreams: Upstreams,
+    starts: RefCell<Starts>,
     discovery: Discovery,
     /// Set when what is held has to end.
     force_close: watch::Sender<bool>,
@@ -76,6 +78,7 @@
             queue: RefCell::default(),
             playing: Cell::new(false),
             upstreams,
+            starts: RefCell::default(),
             discovery,
             force_close: watch::Sender::new(false),
         });
@@ -276,9 +279,12 @@
 
     /// Applies update to the connections and words them for the module.
     fn fleet(&self, update: &ListUpdate) -> Vec<Listed> {
+        let starts = &mut *self.starts.borrow_mut();
+        let (now, first) = (self.clock.now(), starts.is_empty());
         if matches!(update.scope, FleetScope::Full | FleetScope::Cached) {
             let ids: FxHashSet<UpstreamId> = update.entries.iter().map(|e| e.id).collect();
             self.upstreams.keep_only(|id| ids.contains(&id));
+            starts.keep_only(&ids);
         }
         let listed = update.entries.iter().map(|entry| {
             self.upstreams.place(entry.id, &entry.place);
@@ -289,7 +295,7 @@
                 cell: entry.cell,
                 availability: entry.place.availability,
                 weight: entry.weight,
-                started: self.clock.at_unix_ms(entry.place.boot_ms),
+                started: starts.seen(entry, now, self.clock.at_unix_ms(entry.place.boot_ms), first),
             }
         });
         listed.collect()
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod rate_limited;
 pub mod request;
 pub mod server;
+pub mod starts;
 pub mod tally;
 pub mod upstream;
--- /dev/null
+++ b/node/src/starts.rs
@@ -0,0 +1,62 @@
+//! When upstreams started, on this balancer's own clock.
+//!
+//! The list dates a start by the wall clock, and the wall clocks of two machines may be far apart. What decides is when
+//! a start is first seen. The wall clock only says how long ago it was where that fits what a list takes to come.
+
+use crate::list::Entry;
+use lapisroute::{Availability, UpstreamId};
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::time::Duration;
+
+/// A start is seen so long after it was at the most; one that looks older, or lies ahead, is dated by a clock that is
+/// off, unless it is in the first list of all.
+const SEEN_AFTER_MOST: Duration = Duration::from_secs(6);
+
+/// The latest start of one upstream.
+struct Start {
+    boot_ms: u64,
+    at: Option<Duration>,
+}
+
+/// The latest start of each upstream that is listed.
+#[derive(Default)]
+pub struct Starts(FxHashMap<UpstreamId, Start>);
+
+impl Starts {
+    /// Whether no list has been seen yet.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// When an upstream started that is listed now; `None`: long ago. `dated` is that start by the wall clock, and
+    /// `first` says that it is in the first list of all, which tells of starts of any age.
+    pub fn seen(
+        &mut self,
+        entry: &Entry,
+        now: Duration,
+        dated: Option<Duration>,
+        first: bool,
+    ) -> Option<Duration> {
+        if entry.place.availability == Availability::Gone {
+            self.0.remove(&entry.id);
+            return None;
+        }
+        let boot_ms = entry.place.boot_ms;
+        if let Some(start) = self.0.get(&entry.id).filter(|start| start.boot_ms == boot_ms) {
+            return start.at;
+        }
+        let at = match dated {
+            _ if boot_ms == 0 => None,
+            None if first => None,
+            Some(at) if at <= now && (first || now - at <= SEEN_AFTER_MOST) => Some(at),
+            _ => Some(now),
+        };
+        self.0.insert(entry.id, Start { boot_ms, at });
+        at
+    }
+
+    /// Forgets all that are not listed any more.
+    pub fn keep_only(&mut self, listed: &FxHashSet<UpstreamId>) {
+        self.0.retain(|id, _| listed.contains(id));
+    }
+}
--- a/node/tests/common/node.rs
+++ b/node/tests/common/node.rs
@@ -21,6 +21,8 @@
     pub asks: bool,
     /// Whether attempts may be cancelled.
     pub cancelling: bool,
+    /// How long an upstream that has started is cold.
+    pub cold_ms: u64,
 }
 
 impl Setup {
@@ -34,11 +36,12 @@
             deadline_ms: 8000,
             asks: false,
             cancelling: true,
+            cold_ms: 10_000,
         }
     }
 
     pub fn text(&self) -> String {
-        let Self { discovery, known, sockets, deadline_ms, asks, cancelling } = self;
+        let Self { discovery, known, sockets, deadline_ms, asks, cancelling, cold_ms } = self;
         let how = if *asks { "subscribe" } else { "automatic" };
         let class = |name: &str, effect: &str| {
             format!(
@@ -51,7 +54,7 @@
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},
             "settings":{{"balancers":1,"me":0,"classes":[{}],"discovery":"{how}",
-            "failure_domains":["a","b"],"skus":["m"],"locality":0,
+            "guarantees":{{"cold_ms":{cold_ms}}},"failure_domains":["a","b"],"skus":["m"],"locality":0,
             "limits":{{"conn_idle_ms":60000,"connect_timeout_ms":2000,"try_limit":5,"retry_after":false,
             "cancelling":{cancelling}}},
             "parties":[{{"name":"acme","allowance_per_s":1000.0}}]}}}}"#,
--- a/node/tests/common/peers.rs
+++ b/node/tests/common/peers.rs
@@ -119,10 +119,15 @@
     write!(stream, "{:x}\r\n{line}\n\r\n", line.len() + 1).unwrap();
 }
 
-/// An entry of a list.
+/// An entry of a list, of an upstream that started long ago.
 pub fn entry(uid: &str, address: SocketAddr, state: &str) -> String {
+    started_entry(uid, address, state, 0)
+}
+
+/// An entry of a list, of an upstream that started at this Unix time in milliseconds.
+pub fn started_entry(uid: &str, address: SocketAddr, state: &str, boot_ms: u64) -> String {
     format!(
-        r#"{{"uid":"{uid}","endpoint":"{address}","az":"a","model":"m","pod_group":0,"state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#
+        r#"{{"uid":"{uid}","endpoint":"{address}","az":"a","model":"m","pod_group":0,"state":"{state}","capacity_hint":1.0,"boot_ms":{boot_ms}}}"#
     )
 }
 
