--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -2,6 +2,7 @@
 //! whole list.
 
 use crate::connection::{Connection, FirstByte};
+use crate::error_origin::ErrorOrigin;
 use crate::list::{ListReader, ListUpdate, ReadList, WatchLine, WatchLines};
 use crate::rate_limited::RateLimitedWarning;
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 use std::cell::{Cell, RefCell};
 use std::error::Error;
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::task::AbortHandle;
@@ -85,6 +87,11 @@
 
 impl Error for Unanswered {}
 
+/// Whether a call failed by this machine's fault, which says nothing of discovery.
+fn is_machines_own(failure: &Failure) -> bool {
+    failure.downcast_ref::<io::Error>().is_some_and(|e| ErrorOrigin::of(e) != ErrorOrigin::Peer)
+}
+
 /// How far the lines of a watch have come.
 struct Progress {
     last_line: Instant,
@@ -219,7 +226,9 @@
             (Err(e), _) if e.is::<Refused>() => tell(WatchEvent::Refused(began)),
             // Whatever has come of an answer was written there.
             (_, Some(since)) => tell(WatchEvent::Partial(since)),
-            (Err(e), None) if !e.is::<Unanswered>() => tell(WatchEvent::Unreachable(began)),
+            (Err(e), None) if !e.is::<Unanswered>() && !is_machines_own(e) => {
+                tell(WatchEvent::Unreachable(began));
+            }
             _ => (),
         }
         let (_connection, body) = answer?;
--- /dev/null
+++ b/node/src/error_origin.rs
@@ -0,0 +1,61 @@
+//! Whose an error of a system call is: this machine's, the peer's, or nobody's.
+
+use std::io;
+
+/// Numbers of Linux, for which `std` has no kind of its own or one that says too little.
+mod errno {
+    pub const EPERM: i32 = 1;
+    pub const EINTR: i32 = 4;
+    pub const EAGAIN: i32 = 11;
+    pub const ENOMEM: i32 = 12;
+    pub const EACCES: i32 = 13;
+    pub const ENFILE: i32 = 23;
+    pub const EMFILE: i32 = 24;
+    pub const ENONET: i32 = 64;
+    pub const EPROTO: i32 = 71;
+    pub const ENOPROTOOPT: i32 = 92;
+    pub const EOPNOTSUPP: i32 = 95;
+    pub const EADDRINUSE: i32 = 98;
+    pub const EADDRNOTAVAIL: i32 = 99;
+    pub const ENETDOWN: i32 = 100;
+    pub const ENETUNREACH: i32 = 101;
+    pub const ECONNABORTED: i32 = 103;
+    pub const ENOBUFS: i32 = 105;
+    pub const EHOSTDOWN: i32 = 112;
+    pub const EHOSTUNREACH: i32 = 113;
+}
+
+/// Whose an error is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ErrorOrigin {
+    /// This machine's: descriptors, memory, buffers, ports, routes or permissions. It says nothing of a peer.
+    Machine,
+    /// The peer's, or its way here.
+    Peer,
+    /// Nobody's: the call can be made again at once.
+    Nobody,
+}
+
+impl ErrorOrigin {
+    /// Of an error of `connect`, `read` or `write`.
+    pub fn of(error: &io::Error) -> Self {
+        use errno::*;
+        match error.raw_os_error() {
+            Some(EMFILE | ENFILE | ENOMEM | ENOBUFS | EAGAIN | EPERM | EACCES) => Self::Machine,
+            Some(EADDRNOTAVAIL | EADDRINUSE | ENETDOWN | ENETUNREACH) => Self::Machine,
+            Some(EINTR) => Self::Nobody,
+            _ => Self::Peer,
+        }
+    }
+
+    /// Of an error of `accept`, which passes on errors of the connection that it would have returned: they are that
+    /// one's, and the next may be waiting behind it.
+    pub fn of_accept(error: &io::Error) -> Self {
+        use errno::*;
+        match error.raw_os_error() {
+            Some(EINTR | ECONNABORTED | EPROTO | ENOPROTOOPT | EOPNOTSUPP) => Self::Nobody,
+            Some(ENETDOWN | ENETUNREACH | ENONET | EHOSTDOWN | EHOSTUNREACH) => Self::Nobody,
+            _ => Self::Machine,
+        }
+    }
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod connection;
 pub mod discovery;
 pub mod driver;
+pub mod error_origin;
 pub mod exchange;
 pub mod headers;
 pub mod in_flight;
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -2,6 +2,7 @@
 
 use crate::client_stream::{self, ClientState, ClientWatch};
 use crate::driver::Driver;
+use crate::error_origin::ErrorOrigin;
 use crate::rate_limited::RateLimitedWarning;
 use crate::request::{READ_TIMEOUT, Rejected, RequestReader, plain, response_of};
 use bytes::Bytes;
@@ -17,6 +18,7 @@
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
+use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::Poll;
@@ -102,20 +104,29 @@
             };
             match accepted {
                 Ok((stream, _)) => self.admit(stream, &permits).await,
-                Err(e) => {
-                    self.accept_warnings.warn(|| format!("accept: {e}"));
-                    sleep(ACCEPT_PAUSE).await;
-                }
+                Err(e) => self.accept_failed(e).await,
             }
         }
-        // The system has taken these connections already: a request on one of them is owed its answer.
-        while let Some(stream) = accept_waiting(&listener).await {
-            self.admit(stream, &permits).await;
+        // The system has taken these connections already: a request on one of them is owed its answer, also where
+        // an accept fails. Whoever waits for this bounds how long.
+        while let Some(accepted) = accept_waiting(&listener).await {
+            match accepted {
+                Ok(stream) => self.admit(stream, &permits).await,
+                Err(e) => self.accept_failed(e).await,
+            }
         }
         drop(listener);
         let _ = permits.acquire_many(most as u32).await;
     }
 
+    /// Pauses after an accept that failed by this machine's fault; the next may work where it was nobody's.
+    async fn accept_failed(&self, e: io::Error) {
+        self.accept_warnings.warn(|| format!("accept: {e}"));
+        if ErrorOrigin::of_accept(&e) == ErrorOrigin::Machine {
+            sleep(ACCEPT_PAUSE).await;
+        }
+    }
+
     /// Serves a connection as soon as there is a permit for it.
     async fn admit(self: &Rc<Self>, stream: TcpStream, permits: &Arc<Semaphore>) {
         let permit = self.permit(permits).await;
@@ -343,11 +354,11 @@
     }
 }
 
-/// A connection that waits to be accepted, if there is one.
-async fn accept_waiting(listener: &TcpListener) -> Option<TcpStream> {
+/// A connection that waits to be accepted, or why that failed; `None`: none waits.
+async fn accept_waiting(listener: &TcpListener) -> Option<io::Result<TcpStream>> {
     tokio::select! {
         biased;
-        accepted = listener.accept() => accepted.ok().map(|(stream, _)| stream),
+        accepted = listener.accept() => Some(accepted.map(|(stream, _)| stream)),
         () = yield_now() => None,
     }
 }
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -4,6 +4,7 @@
 //! take the request's last byte before the connection ended, or the upstream says so itself.
 
 use crate::connection::{Connection, wire_length};
+use crate::error_origin::ErrorOrigin;
 use crate::exchange::{ExchangeError, Outgoing, exchange};
 use crate::headers::{self, CORRELATION_ID, LOAD, UNPROCESSED};
 use crate::pool::{IdlePool, OpenLimit};
@@ -15,7 +16,6 @@
 use lapisroute::{Availability, LoadField, Outcome, Reports, Settings, UpstreamId};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
-use std::io;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
@@ -237,12 +237,15 @@
     async fn connect(&self, upstream: &Upstream, give_up: Instant) -> Result<Connection, Outcome> {
         let Some(endpoint) = upstream.endpoint.get() else { return Err(Outcome::NotSent) };
         let until = give_up.min(Instant::now() + self.connect_timeout);
-        // Out of descriptors or of time says nothing of the upstream.
+        // What this machine is out of, descriptors or time, says nothing of the upstream.
         let permit = timeout_at(until, self.open.permit(|| self.close_an_idle_one())).await;
         let Ok(permit) = permit else { return Err(Outcome::NotSent) };
         match timeout_at(until, Connection::open(endpoint, permit)).await {
             Ok(Ok(connection)) => Ok(connection),
-            Ok(Err(e)) if out_of_descriptors(&e) => Err(Outcome::NotSent),
+            Ok(Err(e)) if ErrorOrigin::of(&e) != ErrorOrigin::Peer => {
+                tracing::debug!(%endpoint, "no connection, by this machine's fault: {e}");
+                Err(Outcome::NotSent)
+            }
             Ok(Err(e)) => {
                 tracing::debug!(%endpoint, "no connection: {e}");
                 Err(Outcome::ConnectFailed)
@@ -372,8 +375,3 @@
         })
     }
 }
-
-fn out_of_descriptors(e: &io::Error) -> bool {
-    // EMFILE and ENFILE have no kind of their own.
-    matches!(e.raw_os_error(), Some(23 | 24))
-}
--- a/node/tests/common/node.rs
+++ b/node/tests/common/node.rs
@@ -123,6 +123,19 @@
         self.signal("CONT");
     }
 
+    /// Lets it open no further descriptor.
+    pub fn exhaust_descriptors(&self) {
+        let open = |fd: &u64| std::path::Path::new(&format!("/proc/{}/fd/{fd}", self.child.id())).exists();
+        self.limit_descriptors((0..).find(|fd| !open(fd)).unwrap());
+    }
+
+    /// Lets it open so many.
+    pub fn limit_descriptors(&self, most: u64) {
+        let pid = self.child.id().to_string();
+        let limited = Command::new("prlimit").args(["--pid", &pid, &format!("--nofile={most}:")]).status();
+        assert!(limited.expect("prlimit, of util-linux").success());
+    }
+
     /// Replaces the configuration file and says so.
     pub fn reload(&self, text: &str) {
         std::fs::write(&self.path, text).unwrap();
--- /dev/null
+++ b/node/tests/failing_calls.rs
@@ -0,0 +1,47 @@
+//! System calls of the balancer that fail for a while.
+
+mod common;
+
+use common::*;
+use std::time::Duration;
+
+/// When the listener is closed after SIGTERM, and some time more.
+const LISTENER_CLOSED_AFTER: Duration = Duration::from_millis(1000);
+const DESCRIPTORS: u64 = 1024;
+
+/// Guards connections that wait in the listener's queue as the process ends, where `accept` fails just then: each is
+/// owed an answer once it works again.
+#[test]
+fn an_accept_that_fails_at_the_end_does_not_lose_what_waits() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let mut node = Setup::with(&[upstream.address]).start();
+    assert_eq!(node.connect().exchange(&look(5000)).status(), 200);
+    node.exhaust_descriptors();
+    let mut clients: Vec<Client> = (0..5).map(|_| node.connect()).collect();
+    clients.iter_mut().for_each(|client| client.write(&look(5000)));
+    node.terminate();
+    std::thread::sleep(LISTENER_CLOSED_AFTER);
+    node.limit_descriptors(DESCRIPTORS);
+    for (k, client) in clients.iter_mut().enumerate() {
+        assert!(client.answer().is_some(), "client {k} gets an answer");
+    }
+    assert!(node.wait().success());
+}
+
+/// Guards upstreams against being ejected because this machine has no descriptor for a connection to them.
+#[test]
+fn a_machine_without_descriptors_says_nothing_of_its_upstreams() {
+    let upstreams = [Upstream::start(Then::AnswerAndClose(OK)), Upstream::start(Then::AnswerAndClose(OK))];
+    let node = Setup::with(&[upstreams[0].address, upstreams[1].address]).start();
+    let mut client = node.connect();
+    assert_eq!(client.exchange(&look(5000)).status(), 200);
+    until("no descriptor is left", || {
+        node.exhaust_descriptors();
+        client.exchange(&look(5000)).status() == 503
+    });
+    for _ in 0..20 {
+        assert_eq!(client.exchange(&look(5000)).status(), 503);
+    }
+    node.limit_descriptors(DESCRIPTORS);
+    assert_eq!(client.exchange(&look(5000)).status(), 200, "nobody is ejected");
+}
