Read a configuration again that is not whole as SIGHUP comes

Need: folders may hold half a write for a while. A reload read the file once: half of it, or an error, left the balancer at the old discovery for good, as no further signal comes (node/tests/failing_calls.rs: no call at the new address in 20 s). The file is now read every 0.25 s for a minute, until it is whole; a further SIGHUP begins anew, SIGTERM is heeded meanwhile. The test passes; those of signals and shutdown as well.

--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -9,6 +9,7 @@
 use crate::upstream::Upstreams;
 use lapisroute::Balancer;
 use std::error::Error;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -22,6 +23,9 @@
 /// SIGKILL may come when the longest deadline, 3 s at most, and 0.7 s more have passed; this is a bit before.
 const KILL_DEADLINE_MOST: Duration = Duration::from_secs(3);
 const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(600);
+/// How often, and how many times, a configuration file is read that is not whole after SIGHUP.
+const RELOAD_RETRY: Duration = Duration::from_millis(250);
+const RELOAD_TRIES: u32 = 240;
 /// For the answers to what is then still held.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
 
@@ -49,11 +53,9 @@
     let server = Server::new(driver.clone(), &config.site, phases);
     let mut accepting = spawn_local(server.run(listener, config.client_connections()));
 
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = hangup.recv() => reload(&driver),
-        }
+    tokio::select! {
+        _ = term.recv() => (),
+        () = reload_on(&mut hangup, &driver) => (),
     }
     tracing::info!("draining");
     if let Some(members) = &members {
@@ -86,20 +88,32 @@
     }
 }
 
+/// Reloads at each signal, for as long as it is polled.
 async fn reload_on(hangup: &mut Signal, driver: &Rc<Driver>) {
     while hangup.recv().await.is_some() {
-        reload(driver);
+        let mut reload = pin!(reload(driver));
+        // A further signal begins anew: the file may have been replaced since it was read.
+        while tokio::select! { () = &mut reload => false, again = hangup.recv() => again.is_some() } {
+            reload.set(self::reload(driver));
+        }
     }
     std::future::pending().await
 }
 
-/// Takes in the configuration file anew: discovery may have moved. The rest of it holds for a process's life.
-fn reload(driver: &Rc<Driver>) {
-    match Config::from_env() {
-        Ok(config) => {
-            tracing::info!(discovery = %config.discovery, "reloaded");
-            driver.discovery_at(config.discovery);
+/// Takes in the configuration file anew: discovery may have moved. The rest of it holds for a process's life. A file
+/// that cannot be read, or is half written, is read again for a while.
+async fn reload(driver: &Rc<Driver>) {
+    for read in 0..RELOAD_TRIES {
+        match Config::from_env() {
+            Ok(config) => {
+                tracing::info!(discovery = %config.discovery, "reloaded");
+                driver.discovery_at(config.discovery);
+                return;
+            }
+            Err(e) if read == 0 => tracing::warn!("not reloaded, and read again for a while: {e}"),
+            Err(_) => (),
         }
-        Err(e) => tracing::warn!("not reloaded: {e}"),
+        sleep(RELOAD_RETRY).await;
     }
+    tracing::error!("the configuration stays as it was: its file could not be read for {RELOAD_TRIES} times");
 }
--- a/node/tests/common/node.rs
+++ b/node/tests/common/node.rs
@@ -138,10 +138,15 @@
 
     /// Replaces the configuration file and says so.
     pub fn reload(&self, text: &str) {
-        std::fs::write(&self.path, text).unwrap();
+        self.replace_configuration(text);
         self.signal("HUP");
     }
 
+    /// Replaces the configuration file.
+    pub fn replace_configuration(&self, text: &str) {
+        std::fs::write(&self.path, text).unwrap();
+    }
+
     fn signal(&self, name: &str) {
         let sent = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status();
         assert!(sent.unwrap().success());
--- a/node/tests/failing_calls.rs
+++ b/node/tests/failing_calls.rs
@@ -45,3 +45,22 @@
     node.limit_descriptors(DESCRIPTORS);
     assert_eq!(client.exchange(&look(5000)).status(), 200, "nobody is ejected");
 }
+
+/// Guards a reload against a configuration file that is half written, or cannot be read, as the signal comes: it is read
+/// again until it is whole.
+#[test]
+fn a_configuration_that_is_not_whole_yet_is_read_again() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let (discovery, calls) = discovery();
+    let mut setup = Setup::with(&[upstream.address]);
+    setup.asks = true;
+    let mut node = setup.start();
+    setup.discovery = discovery;
+    let text = setup.text();
+    node.reload(&text[..text.len() / 2]);
+    node.round_trip();
+    assert_eq!(node.connect().exchange(&look(5000)).status(), 200);
+    node.replace_configuration(&text);
+    calls.recv_timeout(LONG).expect("a watch at the new address");
+    assert!(node.runs());
+}
