Make interrupted reads and writes again in place of ending their connection

Need: a read or write may fail with EINTR. tokio passes that on, hyper takes it for the end of the connection, and the watch on a client took it for a client that has left: the request in hand would be lost, or an attempt count as reset.

--- a/node/src/connection.rs
+++ b/node/src/connection.rs
@@ -1,5 +1,6 @@
 //! One client-side connection: it knows how much of a request the kernel has taken.
 
+use crate::error_origin::again_if_interrupted;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -61,7 +62,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let poll = again_if_interrupted(Pin::new(&mut self.stream).poll_read(cx, buf), cx);
         if buf.filled().len() > before {
             self.first_byte.note();
         }
@@ -72,7 +73,7 @@
 impl<S: Unpin> AsyncWrite for Counted<S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.count(poll)
+        self.count(again_if_interrupted(poll, cx))
     }
 
     fn poll_write_vectored(
@@ -81,7 +82,7 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let poll = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.count(poll)
+        self.count(again_if_interrupted(poll, cx))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/node/src/error_origin.rs
+++ b/node/src/error_origin.rs
@@ -1,6 +1,7 @@
 //! Whose an error of a system call is: this machine's, the peer's, or nobody's.
 
 use std::io;
+use std::task::{Context, Poll};
 
 /// Numbers of Linux, for which `std` has no kind of its own or one that says too little.
 mod errno {
@@ -59,3 +60,15 @@
         }
     }
 }
+
+/// A read or write that a signal has interrupted is made again when the task is next polled: it has done nothing, and
+/// says nothing of the connection.
+pub fn again_if_interrupted<T>(poll: Poll<io::Result<T>>, cx: &Context<'_>) -> Poll<io::Result<T>> {
+    match poll {
+        Poll::Ready(Err(e)) if e.kind() == io::ErrorKind::Interrupted => {
+            cx.waker().wake_by_ref();
+            Poll::Pending
+        }
+        other => other,
+    }
+}
