--- a/node/tests/common/node.rs
+++ b/node/tests/common/node.rs
@@ -23,6 +23,8 @@
     pub cancelling: bool,
     /// How long an upstream that has started is cold.
     pub cold_ms: u64,
+    /// What the preloaded shim is told to let fail; see the crate `frostkeel-faultshim`.
+    pub faults: Vec<(&'static str, String)>,
 }
 
 impl Setup {
@@ -37,11 +39,12 @@
             asks: false,
             cancelling: true,
             cold_ms: 10_000,
+            faults: Vec::new(),
         }
     }
 
     pub fn text(&self) -> String {
-        let Self { discovery, known, sockets, deadline_ms, asks, cancelling, cold_ms } = self;
+        let Self { discovery, known, sockets, deadline_ms, asks, cancelling, cold_ms, faults: _ } = self;
         let how = if *asks { "subscribe" } else { "automatic" };
         let class = |name: &str, effect: &str| {
             format!(
@@ -67,12 +70,13 @@
         let number = COUNT.fetch_add(1, Ordering::SeqCst);
         let path = std::env::temp_dir().join(format!("maplehook-{}-{number}.json", std::process::id()));
         std::fs::write(&path, self.text()).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_maplehook"))
-            .env("NODE_CONFIG", &path)
-            .env("NODE_LOG", "info")
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_maplehook"));
+        command.env("NODE_CONFIG", &path).env("NODE_LOG", "info").stderr(Stdio::piped());
+        if !self.faults.is_empty() {
+            command.env("LD_PRELOAD", shim());
+            command.envs(self.faults.iter().map(|(name, value)| (name, value)));
+        }
+        let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
         while !line.contains("listen=") {
@@ -87,6 +91,13 @@
     }
 }
 
+/// The shim that lets system calls fail, built beside the tests.
+fn shim() -> PathBuf {
+    let path = std::env::current_exe().unwrap().with_file_name("libfrostkeel_faultshim.so");
+    assert!(path.exists(), "{} is not built", path.display());
+    path
+}
+
 /// A running balancer; killed when dropped.
 pub struct Node {
     child: Child,
--- a/node/tests/failing_calls.rs
+++ b/node/tests/failing_calls.rs
@@ -8,6 +8,9 @@
 /// When the listener is closed after SIGTERM, and some time more.
 const LISTENER_CLOSED_AFTER: Duration = Duration::from_millis(1000);
 const DESCRIPTORS: u64 = 1024;
+/// Connections and requests on each, with faults.
+const CONNECTIONS: usize = 20;
+const REQUESTS_EACH: usize = 10;
 
 /// Guards connections that wait in the listener's queue as the process ends, where `accept` fails just then: each is
 /// owed an answer once it works again.
@@ -64,3 +67,48 @@
     calls.recv_timeout(LONG).expect("a watch at the new address");
     assert!(node.runs());
 }
+
+/// Plays requests over many connections against a balancer with these faults: how many were served. Each gets a final
+/// answer, and none that may not run twice reaches an upstream twice.
+fn served_with(then: Then, faults: &[(&'static str, &str)]) -> usize {
+    let upstreams = [Upstream::start(then), Upstream::start(then)];
+    let mut setup = Setup::with(&[upstreams[0].address, upstreams[1].address]);
+    setup.faults = faults.iter().map(|(name, value)| (*name, (*value).to_owned())).collect();
+    let mut node = setup.start();
+    let mut served = 0;
+    for k in 0..CONNECTIONS {
+        let mut client = node.connect();
+        for _ in 0..REQUESTS_EACH {
+            client.write(&if k % 2 == 0 { look(5000) } else { book(5000, "x") });
+            let answer = client.answer().unwrap_or_else(|| panic!("{faults:?}: connection {k} ended"));
+            served += usize::from(answer.status() == 200);
+        }
+    }
+    assert!(node.runs());
+    let booked = |upstream: &Upstream| upstream.seen().iter().filter(|m| m.line.starts_with("POST")).count();
+    let booked: usize = upstreams.iter().map(booked).sum();
+    assert!(booked <= CONNECTIONS / 2 * REQUESTS_EACH, "{faults:?}: {booked} requests ran, some twice");
+    served
+}
+
+/// Guards requests against calls that fail for this machine's reasons, or for nobody's: no one of them loses a request
+/// or is put down to an upstream.
+#[test]
+fn calls_that_fail_at_times_lose_nothing() {
+    let all = CONNECTIONS * REQUESTS_EACH;
+    let (keeps, closes) = (Then::Answer(OK), Then::AnswerAndClose(OK));
+    for (name, value, then, least) in [
+        ("FAULT_ACCEPT", "0.5:ECONNABORTED,EMFILE,ENOBUFS,EPROTO", keeps, all),
+        ("FAULT_READ", "0.3:EINTR", keeps, all),
+        ("FAULT_WRITE", "0.3:EINTR", keeps, all),
+        ("FAULT_CONNECT", "0.5:EADDRNOTAVAIL,ENOBUFS,ENETUNREACH,ENOMEM", closes, all * 13 / 20),
+        ("FAULT_WALL_MS", "3600000", keeps, all),
+        ("FAULT_WALL_MS", "-3600000", keeps, all),
+    ] {
+        for seed in ["1", "2", "3"] {
+            let faults = [(name, value), ("FAULT_SEED", seed)];
+            let served = served_with(then, &faults);
+            assert!(served >= least, "{faults:?}: served {served} of {all}");
+        }
+    }
+}
