Date a start by the wall clock up to 15 s after it, as silent upstreams are listed late

Cause: an upstream that vanishes and comes back is listed up to 13 s late, and a start seen after more than 6 s was taken for one of just now, so that it was held cold for longer than it is. A clock that is off by less than 15 s dates a start wrongly by that.

--- a/node/src/starts.rs
+++ b/node/src/starts.rs
@@ -8,9 +8,9 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::time::Duration;
 
-/// A start is seen so long after it was at the most; one that looks older, or lies ahead, is dated by a clock that is
-/// off, unless it is in the first list of all.
-const SEEN_AFTER_MOST: Duration = Duration::from_secs(6);
+/// A start is seen so long after it was at the most: the list may learn late of one that fell silent and came back. One
+/// that looks older, or lies ahead, is dated by a clock that is off, unless it is in the first list of all.
+const SEEN_AFTER_MOST: Duration = Duration::from_secs(15);
 
 /// The latest start of one upstream.
 struct Start {
