--- a/registry/src/lib.rs
+++ b/registry/src/lib.rs
@@ -4,6 +4,7 @@
 //! the published form to the letter, the writing side JSON at an address of its own. What is acknowledged is durable.
 
 pub mod client;
+mod command;
 pub mod config;
 mod http;
 pub mod list;
