Read a list to its end that goes on coming, however long it takes

A line in hand now ends the watch after 0.5 s without a byte, or 20 s; no further call is made while an answer comes.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -27,6 +27,8 @@
 /// A line that has begun and does not go on for this long has broken off: the list is called for anew while what it
 /// told may still be learned within the grace of a drain.
 const STALL_MOST: Duration = Duration::from_millis(500);
+/// The longest that one line may take to come: no sends go by the list before it while it does.
+const LINE_MOST: Duration = Duration::from_secs(20);
 /// How long a call may take to be answered: discovery serves one after another, and fails those that wait too long.
 const CALL_TIMEOUT: Duration = Duration::from_millis(3500);
 /// How long a connection to discovery may take.
@@ -96,35 +98,39 @@
 struct Progress {
     last_line: Instant,
     last_byte: Instant,
-    /// Part of a line is in hand, or its first line is still to come.
-    is_partial: bool,
+    /// Since when part of a line has been in hand, or its first line has been owed.
+    line_began: Option<Instant>,
 }
 
 impl Progress {
     /// The answer has begun, and owes its first line.
     fn answered(at: Instant) -> Self {
-        Self { last_line: at, last_byte: at, is_partial: true }
+        Self { last_line: at, last_byte: at, line_began: Some(at) }
     }
 
     fn line_ended(&mut self) {
         self.last_line = self.last_byte;
-        self.is_partial = false;
+        self.line_began = None;
     }
 
     /// Part of a line is in hand; whether it is the first part.
     fn line_begins(&mut self) -> bool {
-        !std::mem::replace(&mut self.is_partial, true)
+        let begins = self.line_began.is_none();
+        self.line_began.get_or_insert(self.last_byte);
+        begins
     }
 
     /// When the watch is given up, should nothing come.
     fn read_until(&self) -> Instant {
-        let silent = self.last_line + SILENCE_MOST;
-        if self.is_partial { silent.min(self.last_byte + STALL_MOST) } else { silent }
+        match self.line_began {
+            None => self.last_line + SILENCE_MOST,
+            Some(began) => (self.last_byte + STALL_MOST).min(began + LINE_MOST),
+        }
     }
 
     /// Whether it is silence for which the watch is given up, not a line that has come to a stop.
     fn is_silent(&self) -> bool {
-        self.last_line.elapsed() >= SILENCE_MOST
+        self.line_began.is_none()
     }
 }
 
--- a/node/tests/crossing_lists.rs
+++ b/node/tests/crossing_lists.rs
@@ -8,6 +8,7 @@
 use maplehook::discovery::{Discovery, WatchEvent};
 use std::cell::RefCell;
 use std::io::Write;
+use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -107,6 +108,49 @@
     });
 }
 
+/// Writes a list of 3,201 entries, all of which drain, in pieces over some seconds.
+fn tell_slowly(mut watch: &TcpStream, upstream: &Upstream) {
+    const PIECES: usize = 40;
+    let others = (0..3200).map(|k| entry(&format!("t-{k}"), upstream.address, "Terminating"));
+    let all: Vec<_> = others.chain([entry("s-0", upstream.address, "Terminating")]).collect();
+    let text = list(2, true, &all) + "\n";
+    for piece in text.as_bytes().chunks(text.len().div_ceil(PIECES)) {
+        write!(watch, "{:x}\r\n", piece.len()).unwrap();
+        watch.write_all(piece).unwrap();
+        watch.write_all(b"\r\n").unwrap();
+        std::thread::sleep(Duration::from_millis(175));
+    }
+}
+
+/// Guards long lists on a slow way: one that goes on coming is read to its end, on a watch and as its first answer.
+#[test]
+fn a_long_list_may_take_its_time() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let drain_is_known = |node: &Node| {
+        until("the drain is known", || node.connect().exchange(&book(5000, "x")).status() == 503);
+    };
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let (node, calls, watch) = watching(&upstream);
+            tell_slowly(&watch, &upstream);
+            drain_is_known(&node);
+            assert!(calls.try_recv().is_err(), "the watch went on");
+        });
+        scope.spawn(|| {
+            let (address, streams) = raw_peer();
+            let mut setup = Setup::with(&[upstream.address]);
+            (setup.discovery, setup.asks) = (address, true);
+            let node = setup.start();
+            let mut watch = streams.recv_timeout(LONG).expect("a watch");
+            assert!(next_request(&watch).is_some());
+            watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+            tell_slowly(&watch, &upstream);
+            drain_is_known(&node);
+            assert!(streams.try_recv().is_err(), "the first call went on");
+        });
+    });
+}
+
 /// Guards against blank lines that keep alive a watch which has broken off within a line.
 #[test]
 fn blank_lines_within_a_list_are_no_heartbeat() {
--- a/src/policy/lease.rs
+++ b/src/policy/lease.rs
@@ -121,7 +121,10 @@
     pub(super) fn list_event(&mut self, event: ListEvent) {
         let (at, lease) = (self.at, &mut self.lease);
         match event {
-            ListEvent::Partial { since } => lease.doubt(Doubt::Partial, since.as_secs_f64()),
+            ListEvent::Partial { since } => {
+                lease.doubt(Doubt::Partial, since.as_secs_f64());
+                self.list_coming = true;
+            }
             _ if self.set.own_agent => (),
             ListEvent::Silent { since } => lease.doubt(Doubt::Silent, since.as_secs_f64()),
             ListEvent::Ended => {
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -34,7 +34,8 @@
 
     /// Asks for the list where that is due.
     pub(super) fn ask_for_list(&mut self) {
-        if !self.set.ask_for_fleet || self.watching || self.at < self.ask_at {
+        let called = self.watching || self.list_coming;
+        if !self.set.ask_for_fleet || called || self.at < self.ask_at {
             return;
         }
         // An unanswered call is asked again well before silence counts as having been told.
@@ -66,6 +67,7 @@
     }
 
     pub(super) fn fleet(&mut self, scope: FleetScope, listed: &[Listed]) {
+        self.list_coming = false;
         if scope == FleetScope::Failed {
             self.list_failed();
             return;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -121,6 +121,7 @@
     ask_at: f64,
     asked_at: f64,
     ask_failures: u32,
+    list_coming: bool, // part of an answer is here, and its end may follow
     lease: lease::ListLease,
 }
 
