Wait for a first line as long as for any, not as for one that has stopped

Cause: with the limit of 0.5 s for a line that stops, a watch whose first line comes later than that after its head was given up and called for anew, for ever: a discovery that answers slowly would never be heard. Seen by reading; node/tests/crossing_lists.rs, a first line 1.5 s after its head, was red on the text before. No byte of the first line is no stopped line: 3 s, as for any silence.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -98,14 +98,14 @@
 struct Progress {
     last_line: Instant,
     last_byte: Instant,
-    /// Since when part of a line has been in hand, or its first line has been owed.
+    /// Since when part of a line has been in hand.
     line_began: Option<Instant>,
 }
 
 impl Progress {
-    /// The answer has begun, and owes its first line.
+    /// The answer has begun, and its first line is still to come.
     fn answered(at: Instant) -> Self {
-        Self { last_line: at, last_byte: at, line_began: Some(at) }
+        Self { last_line: at, last_byte: at, line_began: None }
     }
 
     fn line_ended(&mut self) {
--- a/node/tests/crossing_lists.rs
+++ b/node/tests/crossing_lists.rs
@@ -151,6 +151,23 @@
     });
 }
 
+/// Guards against a watch that is given up because its first line comes some time after its head.
+#[test]
+fn a_first_line_may_come_after_its_head() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let (address, streams) = raw_peer();
+    let mut setup = Setup::with(&[upstream.address]);
+    (setup.discovery, setup.asks) = (address, true);
+    let node = setup.start();
+    let mut watch = streams.recv_timeout(LONG).expect("a watch");
+    assert!(next_request(&watch).is_some());
+    watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+    std::thread::sleep(Duration::from_millis(1500));
+    tell(&watch, &list(2, true, &[entry("s-0", upstream.address, "Ready")]));
+    until("the list is sent by", || node.connect().exchange(&book(5000, "x")).status() == 200);
+    assert!(streams.try_recv().is_err(), "the first call went on");
+}
+
 /// Guards against blank lines that keep alive a watch which has broken off within a line.
 #[test]
 fn blank_lines_within_a_list_are_no_heartbeat() {
