Take blanks for no part of a list, and give up a line that drips after 12 s

Blanks are no part of a list now: silence is judged as before. The tests of the balancer and the module pass.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -28,7 +28,7 @@
 /// told may still be learned within the grace of a drain.
 const STALL_MOST: Duration = Duration::from_millis(500);
 /// The longest that one line may take to come: no sends go by the list before it while it does.
-const LINE_MOST: Duration = Duration::from_secs(20);
+const LINE_MOST: Duration = Duration::from_secs(12);
 /// How long a call may take to be answered: discovery serves one after another, and fails those that wait too long.
 const CALL_TIMEOUT: Duration = Duration::from_millis(3500);
 /// How long a connection to discovery may take.
@@ -282,7 +282,7 @@
                     tell(WatchEvent::Update(update));
                 }
             }
-            if !lines.is_empty() && progress.line_begins() {
+            if lines.has_begun() && progress.line_begins() {
                 tell(WatchEvent::Partial(progress.last_byte));
             }
         }
--- a/node/src/list.rs
+++ b/node/src/list.rs
@@ -226,9 +226,9 @@
 }
 
 impl WatchLines {
-    /// Whether no part of a line is in hand.
-    pub fn is_empty(&self) -> bool {
-        self.pending.is_empty()
+    /// Whether part of a list is in hand; blanks are none.
+    pub fn has_begun(&self) -> bool {
+        self.filled || self.lines > 0
     }
 
     /// Takes in what has come.
