--- a/node/tests/common/node.rs
+++ b/node/tests/common/node.rs
@@ -2,12 +2,17 @@
 
 use super::*;
 use socket2::{Domain, SockRef, Socket, Type};
+use std::collections::VecDeque;
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::Receiver;
+use std::sync::{Arc, Mutex};
+
+/// Lines of a balancer's log that are kept for a test that fails.
+const LOG_KEPT: usize = 60;
 
 pub const HEALTH: &str = "GET /health/live HTTP/1.1\r\nHost: app.svc\r\n\r\n";
 
@@ -90,8 +95,18 @@
         let address = line.split("listen=").nth(1).and_then(|rest| rest.split(' ').next()).unwrap();
         let address = address.trim().parse().unwrap();
         // The log must go on being read, or it would fill.
-        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Node { child, address, path }
+        let last_lines = Arc::new(Mutex::new(VecDeque::new()));
+        let kept = Arc::clone(&last_lines);
+        std::thread::spawn(move || {
+            for line in log.lines().map_while(Result::ok) {
+                let mut kept = kept.lock().unwrap();
+                kept.push_back(line);
+                if kept.len() > LOG_KEPT {
+                    kept.pop_front();
+                }
+            }
+        });
+        Node { child, address, path, last_lines }
     }
 }
 
@@ -108,6 +123,8 @@
     pub address: SocketAddr,
     /// Its configuration file.
     path: PathBuf,
+    /// The end of its log, shown where a test fails.
+    last_lines: Arc<Mutex<VecDeque<String>>>,
 }
 
 impl Node {
@@ -206,6 +223,13 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.path);
+        if std::thread::panicking() {
+            let lines = self.last_lines.lock().unwrap();
+            eprintln!(
+                "the end of the balancer's log:\n{}",
+                lines.iter().map(|l| format!("  {l}\n")).collect::<String>()
+            );
+        }
     }
 }
 
--- a/node/tests/list_lease.rs
+++ b/node/tests/list_lease.rs
@@ -122,7 +122,9 @@
             open.push(stream);
         }
     });
-    until("a whole list is sent by again", || node.connect().exchange(&book(5000, "x")).status() == 200);
+    until(&format!("{end:?}, {how:?}: a whole list is sent by again"), || {
+        node.connect().exchange(&book(5000, "x")).status() == 200
+    });
 }
 
 /// Plays these cases side by side.
