--- a/node/tests/common/node.rs
+++ b/node/tests/common/node.rs
@@ -326,6 +326,17 @@
 /// The calls that discovery gets.
 pub type Calls = Receiver<(String, TcpStream)>;
 
+/// A balancer whose first call for its list waits for an answer, the connections of further calls, and this one's.
+pub fn calling(upstream: &Upstream) -> (Node, Receiver<TcpStream>, TcpStream) {
+    let (address, calls) = raw_peer();
+    let mut setup = Setup::with(&[upstream.address]);
+    (setup.discovery, setup.asks) = (address, true);
+    let node = setup.start();
+    let call = calls.recv_timeout(LONG).expect("a call");
+    assert!(next_request(&call).is_some());
+    (node, calls, call)
+}
+
 /// A balancer that watches, with its upstream, and the watch.
 pub fn watching(upstream: &Upstream) -> (Node, Calls, TcpStream) {
     let (discovery, calls) = discovery();
--- a/node/tests/crossing_lists.rs
+++ b/node/tests/crossing_lists.rs
@@ -137,12 +137,7 @@
             assert!(calls.try_recv().is_err(), "the watch went on");
         });
         scope.spawn(|| {
-            let (address, streams) = raw_peer();
-            let mut setup = Setup::with(&[upstream.address]);
-            (setup.discovery, setup.asks) = (address, true);
-            let node = setup.start();
-            let mut watch = streams.recv_timeout(LONG).expect("a watch");
-            assert!(next_request(&watch).is_some());
+            let (node, streams, mut watch) = calling(&upstream);
             watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
             tell_slowly(&watch, &upstream);
             drain_is_known(&node);
@@ -155,12 +150,7 @@
 #[test]
 fn a_first_line_may_come_after_its_head() {
     let upstream = Upstream::start(Then::Answer(OK));
-    let (address, streams) = raw_peer();
-    let mut setup = Setup::with(&[upstream.address]);
-    (setup.discovery, setup.asks) = (address, true);
-    let node = setup.start();
-    let mut watch = streams.recv_timeout(LONG).expect("a watch");
-    assert!(next_request(&watch).is_some());
+    let (node, streams, mut watch) = calling(&upstream);
     watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
     std::thread::sleep(Duration::from_millis(1500));
     tell(&watch, &list(2, true, &[entry("s-0", upstream.address, "Ready")]));
--- a/node/tests/list_lease.rs
+++ b/node/tests/list_lease.rs
@@ -80,13 +80,8 @@
 /// Plays one case: a watch that breaks after its list, and calls that bring no list.
 fn play(end: Watch, how: Calls) {
     let upstream = Upstream::start(Then::Answer(OK));
-    let (address, calls) = raw_peer();
-    let mut setup = Setup::with(&[upstream.address]);
-    (setup.discovery, setup.asks) = (address, true);
-    let node = setup.start();
+    let (node, calls, mut watch) = calling(&upstream);
     let text = whole_list(&upstream);
-    let mut watch = calls.recv_timeout(LONG).expect("a watch");
-    assert!(next_request(&watch).is_some());
     watch.write_all((HEAD.to_owned() + &chunk(&text)).as_bytes()).unwrap();
     let silent = Instant::now();
     let notified_after = match end {
