Say once in the log that a watch has failed

Each failed watch was logged twice at the level in service, by its number and as a warning without it. It is one warning now, with its number.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -209,10 +209,7 @@
         }
         match ended {
             Ok(()) => tracing::info!(watch = number, "watch ended by discovery"),
-            Err(e) => {
-                tracing::info!(watch = number, "watch failed: {e}");
-                self.warnings.warn(|| format!("watch ended: {e}"));
-            }
+            Err(e) => tracing::warn!(watch = number, "watch failed: {e}"),
         }
         tell(WatchEvent::Update(ListUpdate::failed()));
     }
