--- a/review/standins/case1.rs
+++ b/review/standins/case1.rs
@@ -13,12 +13,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-const SOCKETS: u32 = 256;
-const MEMORY_MB: u32 = 32;
-/// Clients hold at most a third of the descriptors, 85 here.
-const SLOW_CLIENTS: usize = 16;
+const SOCKETS: u32 = 512;
+const MEMORY_MB: u32 = 64;
+/// Clients hold at most a third of the descriptors, 170 here.
+const SLOW_CLIENTS: usize = 32;
 /// A body holds 64 KiB at most.
-const BODY_BYTES: usize = 16 * 1024;
+const BODY_BYTES: usize = 24 * 1024;
 /// A slow client writes a piece of this many bytes each millisecond: about 15 KB a second.
 const PIECE_BYTES: usize = 16;
 const PIECE_INTERVAL: Duration = Duration::from_millis(1);
