--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::fs::File;
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -141,18 +141,55 @@
     pub time_left_ms: String,
 }
 
-/// A stand-in upstream: `serve` gets each request whose last byte has arrived, and returns the body of the answer.
+/// A stand-in for the process of an upstream. Once `has_ended` is set its connections break and new ones are refused.
+pub struct Process {
+    pub has_ended: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
+}
+
+impl Process {
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self { has_ended: AtomicBool::new(false), connections: Mutex::default() })
+    }
+
+    pub fn end(&self) {
+        self.has_ended.store(true, Ordering::SeqCst);
+        for connection in self.connections.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// A stand-in upstream in a process that never ends.
 pub fn start_upstream<F>(serve: F) -> io::Result<SocketAddr>
 where
     F: Fn(&Work, &mut TcpStream) -> Option<Vec<u8>> + Send + Sync + 'static,
 {
+    start_process(&Process::new(), serve)
+}
+
+/// A stand-in upstream: `serve` gets each request whose last byte has arrived, and returns the body of the answer.
+pub fn start_process<F>(process: &Arc<Process>, serve: F) -> io::Result<SocketAddr>
+where
+    F: Fn(&Work, &mut TcpStream) -> Option<Vec<u8>> + Send + Sync + 'static,
+{
+    let process = Arc::clone(process);
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
     let serve = Arc::new(serve);
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        let _ = listener.set_nonblocking(true);
+        while !process.has_ended.load(Ordering::SeqCst) {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            if let Ok(connection) = stream.try_clone() {
+                process.connections.lock().unwrap().push(connection);
+            }
             let serve = Arc::clone(&serve);
             thread::spawn(move || {
+                let _ = stream.set_nonblocking(false);
                 let _ = stream.set_nodelay(true);
                 let mut reader = Reader::new(stream);
                 while let Ok(Some(message)) = reader.next() {
