--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p bin
-for source in standins/case*.rs; do
+for source in standins/case*.rs standins/entry*.rs; do
     name=$(basename "$source" .rs)
     rustc --edition 2024 -O -o "bin/$name" "$source"
 done
