Log how long a client connection may have waited in the accept queue

The accept queue now knows since when it can have held the connection, and the debug event "client connection accepted" has that time and the number of connections. The listener and accept_waiting moved to client/accept.rs for it; the limit and its wait are unchanged, and so is the fault.

cargo test -p frostkeel-balancer: all passed, clippy clean.

--- a/balancer/src/client/mod.rs
+++ b/balancer/src/client/mod.rs
@@ -1,5 +1,6 @@
 //! The client side of the balancer: connections, requests and responses.
 
+mod accept;
 mod connection;
 mod request;
 mod response;
--- a/balancer/src/client/server.rs
+++ b/balancer/src/client/server.rs
@@ -1,5 +1,6 @@
 //! The server that accepts client connections and responds to their requests.
 
+use super::accept::{AcceptQueue, AcceptedConnection};
 use super::connection::ClientConnection;
 use super::request::{RequestError, RequestReader};
 use super::response::{into_http_response, plain_response};
@@ -22,7 +23,6 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
-use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
 /// The interval at which a server at its connection limit searches for an idle connection to close, while a new
@@ -62,37 +62,41 @@
     /// Accepts clients until [`Phase::Closing`], and serves at most `max_clients` at a time. Returns when the last
     /// connection has closed.
     pub async fn run(self: Rc<Self>, listener: TcpListener, max_clients: usize) {
+        let queue = AcceptQueue::new(listener);
         let permits = Arc::new(Semaphore::new(max_clients));
         let connections = TaskGroup::default();
         let mut phase = self.phase.clone();
         loop {
             let accepted = tokio::select! {
-                accepted = listener.accept() => accepted.map(|(stream, _)| stream),
+                accepted = queue.accept() => accepted,
                 _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
             };
             self.on_accept(accepted, &permits, &connections).await;
         }
         // The kernel has already established the connections in the accept queue, so requests on them need a response.
         // A failed accept does not end this loop; the caller limits its time.
-        while let Some(accepted) = accept_waiting(&listener).await {
+        while let Some(accepted) = queue.accept_waiting().await {
             self.on_accept(accepted, &permits, &connections).await;
         }
-        drop(listener);
+        drop(queue);
         let _ = permits.acquire_many(max_clients as u32).await;
     }
 
     async fn on_accept(
         self: &Rc<Self>,
-        accepted: io::Result<TcpStream>,
+        accepted: io::Result<AcceptedConnection>,
         permits: &Arc<Semaphore>,
         connections: &TaskGroup,
     ) {
         match accepted {
-            Ok(stream) => {
+            Ok(connection) => {
                 let permit = self.acquire_permit(permits).await;
+                let open = self.clients.borrow().len() + 1;
+                let max_queue_time = connection.max_queue_time();
+                tracing::debug!(open, ?max_queue_time, "client connection accepted");
                 let server = Rc::clone(self);
                 connections.spawn(async move {
-                    server.serve_client(stream).await;
+                    server.serve_client(connection.stream).await;
                     drop(permit);
                 });
             }
@@ -192,12 +196,3 @@
         into_http_response(self.event_loop.submit(request).response().await)
     }
 }
-
-/// Accepts a connection from the accept queue without waiting for a new one; `None` if the queue is empty.
-async fn accept_waiting(listener: &TcpListener) -> Option<io::Result<TcpStream>> {
-    tokio::select! {
-        biased;
-        accepted = listener.accept() => Some(accepted.map(|(stream, _)| stream)),
-        () = yield_now() => None,
-    }
-}
