Copy the pieces of a body, so that slow peers cannot exhaust the memory

Cause: BodyExt::collect keeps a body as the list of its pieces. Each piece is a slice of the read buffer it came in, and keeps that buffer (8 KiB) until the body is complete, so that memory grows with the number of pieces, which no limit bounds. The same construct read the responses of upstreams.

Change: the new crate message-body copies each piece and releases it before the next one is read; requests and responses use it.

--- a/balancer/src/client/request.rs
+++ b/balancer/src/client/request.rs
@@ -5,9 +5,10 @@
 use crate::in_flight::ClientRequest;
 use crate::upstream::ForwardedRequest;
 use bytes::Bytes;
+use frostkeel_message_body::{BodyError, read_complete};
 use frostkeel_policy::{ClassId, Effect, TenantId};
 use frostkeel_settings::Site;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -243,10 +244,10 @@
     if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Err(RequestError::BodyTooLong);
     }
-    match timeout_at(until, Limited::new(body, MAX_BODY_BYTES).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RequestError::BodyTooLong),
-        Ok(Err(_)) => Err(RequestError::BodyTruncated),
+    match timeout_at(until, read_complete(body, MAX_BODY_BYTES)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLong { .. })) => Err(RequestError::BodyTooLong),
+        Ok(Err(BodyError::Invalid(_))) => Err(RequestError::BodyTruncated),
         Err(_) => Err(RequestError::BodyTimeout),
     }
 }
--- a/balancer/src/upstream/exchange.rs
+++ b/balancer/src/upstream/exchange.rs
@@ -3,7 +3,8 @@
 use crate::connection::Connection;
 use crate::headers::TIME_LEFT;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use frostkeel_message_body::{BodyError, read_complete};
+use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
 use std::time::Duration;
@@ -64,6 +65,15 @@
     }
 }
 
+impl From<BodyError<hyper::Error>> for ExchangeError {
+    fn from(error: BodyError<hyper::Error>) -> Self {
+        match error {
+            BodyError::TooLong { .. } => Self::BodyTooLong,
+            BodyError::Invalid(error) => Self::InvalidBody(error),
+        }
+    }
+}
+
 /// Sends a request on a connection and reads the complete response.
 pub async fn exchange(
     connection: &mut Connection,
@@ -77,11 +87,6 @@
         }
     })?;
     let (parts, body) = response.into_parts();
-    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
-    let body = body.map_err(|error| match error.downcast::<hyper::Error>() {
-        Ok(error) => ExchangeError::InvalidBody(*error),
-        // `Limited` adds no other error than the one for a body over the limit.
-        Err(_) => ExchangeError::BodyTooLong,
-    })?;
-    Ok(Response::from_parts(parts, body.to_bytes()))
+    let body = read_complete(body, MAX_BODY_BYTES).await?;
+    Ok(Response::from_parts(parts, body))
 }
