Copy the pieces of a body in the registry, which had the fault of the balancer

What callers would see: clients that write to the registry in small pieces make its memory grow by a read buffer for each piece, of up to 16 KiB of body on each of 2,048 connections, until the process ends. The registry's HTTP client read responses in the same way.

Change: both use read_complete of the crate message-body, which releases each piece before it reads the next one; the errors are as before.

The stand-ins of the lab collect bodies in the old way and were left.

--- a/registry/src/client.rs
+++ b/registry/src/client.rs
@@ -1,12 +1,12 @@
 //! An HTTP client with timeouts and a limit on the size of a response.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use frostkeel_message_body::{BodyError, read_complete};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::handshake;
 use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
-use std::error::Error as StdError;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -104,17 +104,14 @@
 }
 
 async fn read_body(response: Response<Incoming>) -> Result<Bytes, ClientErrorCause> {
-    let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
-        .collect()
-        .await;
-    Ok(body.map_err(body_error)?.to_bytes())
+    Ok(read_complete(response.into_body(), MAX_BODY_BYTES).await?)
 }
 
-/// Converts an error of reading a body, which is an error of the connection or that of the size
-/// limit.
-fn body_error(error: Box<dyn StdError + Send + Sync>) -> ClientErrorCause {
-    match error.downcast::<hyper::Error>() {
-        Ok(error) => ClientErrorCause::Protocol(*error),
-        Err(_) => ClientErrorCause::BodyTooLong,
+impl From<BodyError<hyper::Error>> for ClientErrorCause {
+    fn from(error: BodyError<hyper::Error>) -> Self {
+        match error {
+            BodyError::TooLong { .. } => Self::BodyTooLong,
+            BodyError::Invalid(error) => Self::Protocol(error),
+        }
     }
 }
--- a/registry/src/http/write_api.rs
+++ b/registry/src/http/write_api.rs
@@ -7,7 +7,7 @@
 use crate::write_request::{RequestError, parse_command};
 use crate::writer::WriteRequest;
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use frostkeel_message_body::{BodyError, read_complete};
 use hyper::body::Incoming;
 use hyper::header::IF_MATCH;
 use hyper::http::request::Parts;
@@ -123,11 +123,10 @@
 }
 
 async fn read_body(body: Incoming) -> Result<Bytes, RequestError> {
-    let body = Limited::new(body, MAX_BODY_BYTES).collect();
-    match timeout(REQUEST_TIMEOUT, body).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(RequestError::BodyTooLong),
-        Ok(Err(_)) => Err(RequestError::BodyTruncated),
+    match timeout(REQUEST_TIMEOUT, read_complete(body, MAX_BODY_BYTES)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLong { .. })) => Err(RequestError::BodyTooLong),
+        Ok(Err(BodyError::Invalid(_))) => Err(RequestError::BodyTruncated),
         Err(_) => Err(RequestError::BodyTimeout),
     }
 }
