Let a short latency objective take precedence over the quantile's lower limit

Cause: update_quantile clamped the quantile of a class's latencies between two ticks (50 ms) and the objective, and clamp panics if the lower limit is above the upper one. Settings::check accepts such an objective.

Change: the objective takes precedence. The lower limit only keeps the quantile from being shorter than the ticks that look for overdue attempts; an attempt is overdue after six tenths of its objective at the latest in any case. Objectives of 50 ms and more give the same values as before.

--- a/src/policy/class_statistics.rs
+++ b/src/policy/class_statistics.rs
@@ -24,7 +24,8 @@
 /// Relative step by which each latency changes the estimate of the quantile. The step is
 /// multiplied by [`OVERDUE_QUANTILE`] for a rise, and by one minus [`OVERDUE_QUANTILE`] for a fall.
 const QUANTILE_STEP: f64 = 0.05;
-/// Lower limit of the quantile in seconds: two ticks, as each tick looks for overdue attempts.
+/// Lower limit of the quantile in seconds: two ticks, as each tick looks for overdue attempts. The
+/// upper limit, the objective, can be shorter.
 const MIN_QUANTILE_S: f64 = 2.0 * TICK_S;
 /// Fraction of the objective after which an attempt is overdue even if the quantile is longer, so
 /// that a hedged attempt can still succeed within the objective.
@@ -213,9 +214,11 @@
         } else {
             1.0 - QUANTILE_STEP * (1.0 - OVERDUE_QUANTILE)
         };
+        // An objective below the lower limit takes precedence, so this is not a `clamp`.
         self.latency_quantile_s = self
             .latency_quantile_s
-            .clamp(MIN_QUANTILE_S, self.objective_s);
+            .max(MIN_QUANTILE_S)
+            .min(self.objective_s);
     }
 
     fn update_mean(&mut self, latency_s: f64, now_s: f64) {
