Limit the numbers in the settings so that sums and products stay finite

What callers would see: a balancer whose accepted settings have numbers near the largest floating-point number (two tenants' quotas, or fall_multiple with no slow start) aborts at its first tick.

Cause: sums of quotas and products with overload_multiple became infinite, then NaN, and the clamp of the saved sends in policy/pacing.rs panicked.

Change: Balancer::new counts with settings in which each number above 1e12 is 1e12. Settings that were in use give the same actions as before.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -128,7 +128,7 @@
     /// balancer's only source of randomness.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
-        Ok(Self::with_settings(settings, seed))
+        Ok(Self::with_settings(settings.with_limited_numbers(), seed))
     }
 
     fn with_settings(settings: Settings, seed: u64) -> Self {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,10 @@
 use crate::interface::ZoneId;
 use std::time::Duration;
 
+/// Maximum of each number in the settings that decisions count with. Sums and products of a few such
+/// numbers stay finite.
+const MAX_COUNTED_NUMBER: f64 = 1e12;
+
 /// The effect that a second execution of a request may have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -281,6 +285,24 @@
             .try_for_each(|tenant| check_not_negative(tenant.quota_per_s, "tenant allowance_per_s"))
     }
 
+    /// Returns the settings that decisions count with: each number is limited to
+    /// [`MAX_COUNTED_NUMBER`].
+    pub(crate) fn with_limited_numbers(mut self) -> Self {
+        for class in &mut self.classes {
+            limit(&mut class.priority_weight);
+            limit(&mut class.late_weight_fraction);
+            limit(&mut class.objective_extension_per_cpu_time);
+        }
+        for tenant in &mut self.tenants {
+            limit(&mut tenant.quota_per_s);
+        }
+        limit(&mut self.over_quota_weight_fraction);
+        limit(&mut self.slow_start_initial_fraction);
+        limit(&mut self.overload_multiple);
+        limit(&mut self.prices.cross_zone);
+        self
+    }
+
     fn check_counts(&self) -> Result<(), SettingsError> {
         if self.classes.is_empty() {
             return Err(SettingsError::NoClasses);
@@ -325,6 +347,10 @@
     }
 }
 
+fn limit(value: &mut f64) {
+    *value = value.min(MAX_COUNTED_NUMBER);
+}
+
 /// Checks that a value is finite and not negative. `name` is the key of the value in the site's
 /// settings file; a key of a class has the prefix "class", as in "class worth".
 fn check_not_negative(value: f64, name: &'static str) -> Result<(), SettingsError> {
