Accept connect timeouts beyond the range of the clock

What callers would see: a balancer whose settings state connect_timeout_ms near the longest duration aborts at its first connection to an upstream.

Cause: checkout.rs added the timeout to an Instant, which panics on overflow ("overflow when adding duration to instant").

Change: a timeout that the clock cannot represent never applies, so that the deadline of the attempt alone limits the connect. Other timeouts are as before.

Measured: upstream_attempts::connects_with_the_longest_timeouts failed before and passes, as do the others of its file.

--- a/balancer/src/upstream/checkout.rs
+++ b/balancer/src/upstream/checkout.rs
@@ -71,7 +71,9 @@
         let Some(address) = upstream.address() else {
             return Err(Outcome::NotSent);
         };
-        let deadline = expires_at.min(Instant::now() + self.connect_timeout);
+        // A timeout beyond the range of the clock never applies.
+        let times_out_at = Instant::now().checked_add(self.connect_timeout);
+        let deadline = times_out_at.map_or(expires_at, |at| at.min(expires_at));
         // A permit that is not available in time is due to the connection limit, not to a fault of the upstream.
         let permit = self.connection_limit.acquire(|| self.close_any_idle());
         let Ok(permit) = timeout_at(deadline, permit).await else {
--- a/balancer/tests/common/upstream_pool.rs
+++ b/balancer/tests/common/upstream_pool.rs
@@ -75,7 +75,16 @@
 
     /// Creates a pool whose upstream accepts connections on `listener`.
     pub fn with_listener(listener: TcpListener, max_connections: usize) -> Self {
-        let upstreams = Rc::new(Upstreams::new(&long_timeout_settings(), max_connections));
+        Self::with_settings(&long_timeout_settings(), listener, max_connections)
+    }
+
+    /// Creates a pool like [`Self::with_listener`], with these settings.
+    pub fn with_settings(
+        settings: &Settings,
+        listener: TcpListener,
+        max_connections: usize,
+    ) -> Self {
+        let upstreams = Rc::new(Upstreams::new(settings, max_connections));
         let endpoint = ready_endpoint(listener.local_addr().unwrap());
         upstreams.apply_endpoint(UPSTREAM, &endpoint);
         Self {
--- a/balancer/tests/upstream_attempts.rs
+++ b/balancer/tests/upstream_attempts.rs
@@ -3,9 +3,10 @@
 mod common;
 
 use common::{COOLDOWN_WAIT, EMPTY_RESPONSE, TIMEOUT, TestPool, UPSTREAM, attempt};
-use frostkeel_policy::{Availability, Outcome, UpstreamId};
+use frostkeel_policy::{Availability, Outcome, Settings, UpstreamId};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use tokio::time::{Instant, timeout_at};
 
 /// The upstream begins to drain while an attempt waits for a connection to it. The request must not
@@ -117,3 +118,17 @@
     assert_eq!(result.outcome, Outcome::NotSent);
     unanswered.abort();
 }
+
+/// Guards against a crash at the first connection if the settings state the longest timeouts.
+#[tokio::test(flavor = "local")]
+async fn connects_with_the_longest_timeouts() {
+    let settings = Settings {
+        connect_timeout: Duration::MAX,
+        connection_idle_timeout: Duration::MAX,
+        ..Settings::default()
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let pool = TestPool::with_settings(&settings, listener, 8);
+    let (result, _stream) = tokio::join!(pool.attempt(1, TIMEOUT), pool.serve_next());
+    assert_eq!(result.outcome, Outcome::Ok);
+}
--- a/tests/extreme_settings.rs
+++ b/tests/extreme_settings.rs
@@ -151,7 +151,12 @@
 /// Submits the request of a step, and ends each attempt of it.
 fn run_step(harness: &mut Harness, step: &Step) {
     let (class, tenant) = (ClassId(step.class), TenantId(step.tenant));
-    let id = harness.submit(class, tenant, step.time_left, step.latency_ms % 2 == 0);
+    let id = harness.submit(
+        class,
+        tenant,
+        step.time_left,
+        step.latency_ms.is_multiple_of(2),
+    );
     let mut attempt = 0;
     while harness.upstream_of(id, attempt).is_some() {
         if step.is_stream {
