Keep room for new clients when others stop within a request

Upstreams were told 1,175 ms of time that was not left.

A connection that has waited for 0.35 s is closed unread. The deadline of a first request counts from when its connection can have entered the queue (client/accept.rs). The limit no longer is a semaphore, which panicked for a limits.sockets near 2^64.

--- a/balancer/src/client/accept.rs
+++ b/balancer/src/client/accept.rs
@@ -8,6 +8,9 @@
 use tokio::task::{unconstrained, yield_now};
 use tokio::time::Instant;
 
+/// The shortest time in the accept queue that counts.
+const MIN_QUEUE_TIME: Duration = Duration::from_millis(5);
+
 /// An accepted connection.
 pub(super) struct AcceptedConnection {
     pub(super) stream: TcpStream,
@@ -67,4 +70,19 @@
     pub(super) fn max_queue_time(&self) -> Duration {
         self.queued_since.elapsed()
     }
+
+    /// Returns since when bytes that can be read now may have been received; `None` if there are none, or if the
+    /// connection did not wait.
+    pub(super) async fn unread_since(&self) -> Option<Instant> {
+        if self.max_queue_time() < MIN_QUEUE_TIME {
+            return None;
+        }
+        // The yield lets the I/O driver report bytes that have already arrived.
+        let has_bytes = tokio::select! {
+            biased;
+            _ = self.stream.readable() => true,
+            () = yield_now() => false,
+        };
+        has_bytes.then_some(self.queued_since)
+    }
 }
--- a/balancer/src/client/connection.rs
+++ b/balancer/src/client/connection.rs
@@ -13,12 +13,15 @@
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// The time for which a closing connection waits for the rest of a partial request head.
 const HEAD_GRACE: Duration = Duration::from_millis(250);
+/// The time after its last byte for which a connection that closes to admit another one waits for the rest of a partial
+/// request head. It is shorter, because requests on the other connection wait meanwhile.
+const HEAD_GRACE_AT_LIMIT: Duration = Duration::from_millis(100);
 /// The interval at which a closing connection checks for the rest of a partial request head.
 const HEAD_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// The time after a response during which closing the connection could cause a reset that discards the response.
@@ -36,8 +39,10 @@
 enum Activity {
     /// No request has been received on the connection since it was accepted at this time.
     AwaitingFirst(Instant),
-    /// A request is in progress.
-    RequestInProgress,
+    /// The body of a request has been awaited since this time.
+    AwaitingBody(Instant),
+    /// A request has been received completely, and its response is pending.
+    ResponsePending,
     /// No request has been in progress since the last response, which ended at this time.
     Idle(Instant),
 }
@@ -56,10 +61,8 @@
 pub(super) struct ClientConnection {
     state: ClientState,
     activity: Cell<Activity>,
-    /// Notified when the connection must close: after the current response, or immediately if it is idle.
-    close: Notify,
-    /// Whether [`Self::request_close`] has been called.
-    is_close_requested: Cell<bool>,
+    /// Whether the connection must close: after the current response, or immediately if none is pending.
+    close: watch::Sender<bool>,
 }
 
 impl ClientConnection {
@@ -68,8 +71,7 @@
         Rc::new(Self {
             state,
             activity: Cell::new(Activity::AwaitingFirst(Instant::now())),
-            close: Notify::new(),
-            is_close_requested: Cell::new(false),
+            close: watch::Sender::new(false),
         })
     }
 
@@ -83,8 +85,8 @@
         let service = service_fn(|request| {
             let (server, client) = (Rc::clone(server), Rc::clone(self));
             async move {
-                client.begin_request();
-                let response = server.respond(request, &client).await;
+                let received_at = client.begin_request();
+                let response = server.respond(request, received_at, &client).await;
                 client.end_request();
                 Ok::<_, Infallible>(response)
             }
@@ -124,23 +126,55 @@
     /// Returns whether the connection may be closed to admit another one: its close has not been requested yet, and no
     /// write is blocked.
     pub(super) fn may_be_closed(&self) -> bool {
-        !self.is_close_requested.get() && self.state.write_blocked_since().is_none()
+        !self.is_close_requested() && self.state.write_blocked_since().is_none()
     }
 
-    /// Requests that the connection be closed after the current response, or immediately if it is idle.
+    /// Returns whether the connection closes soon because its close has been requested: no response is pending, and no
+    /// write is blocked.
+    pub(super) fn is_about_to_close(&self) -> bool {
+        self.is_close_requested()
+            && self.inactive_since().is_some()
+            && self.state.write_blocked_since().is_none()
+    }
+
+    /// Requests that the connection be closed: after its response if that is pending, otherwise immediately. A request
+    /// that has not been received completely is rejected.
     pub(super) fn request_close(&self) {
-        self.is_close_requested.set(true);
-        self.close.notify_one();
+        self.close.send_replace(true);
+    }
+
+    /// Returns whether the close of the connection has been requested.
+    pub(super) fn is_close_requested(&self) -> bool {
+        *self.close.borrow()
+    }
+
+    /// Waits until the close of the connection is requested.
+    pub(super) async fn close_requested(&self) {
+        // The sender is a field of `self`, so the channel cannot be closed.
+        let _ = self.close.subscribe().wait_for(|close| *close).await;
     }
 
     /// Returns when the connection became idle; `None` while a request is in progress.
     pub(super) fn idle_since(&self) -> Option<Instant> {
         match self.activity.get() {
             Activity::AwaitingFirst(since) | Activity::Idle(since) => Some(since),
-            Activity::RequestInProgress => None,
+            Activity::AwaitingBody(_) | Activity::ResponsePending => None,
         }
     }
 
+    /// Returns since when the client has been due to send a request, or more of one, and has sent nothing; `None` while
+    /// a response is pending.
+    pub(super) fn inactive_since(&self) -> Option<Instant> {
+        let since = match self.activity.get() {
+            Activity::AwaitingFirst(since)
+            | Activity::Idle(since)
+            | Activity::AwaitingBody(since) => since,
+            Activity::ResponsePending => return None,
+        };
+        let last_byte_at = self.state.last_byte_at();
+        Some(last_byte_at.map_or(since, |at| at.max(since)))
+    }
+
     /// Returns whether the client has closed the connection or shut down its sending side.
     pub(super) fn has_disconnected(&self) -> bool {
         self.state.has_disconnected()
@@ -153,18 +187,22 @@
 
     /// Records that the current request has been read completely, and that its response is now pending.
     pub(super) fn mark_response_pending(&self) {
+        self.activity.set(Activity::ResponsePending);
         self.state.set_responding(true);
     }
 
     /// Returns whether a response may have been sent so recently that closing the connection could discard it.
     pub(super) fn could_lose_response(&self) -> bool {
-        let may_have_response = self.has_received_request() || self.state.head_since().is_some();
-        let idle_since = self.idle_since().filter(|_| may_have_response);
+        let idle_since = self.idle_since().filter(|_| self.state.has_written());
         idle_since.is_some_and(|since| since.elapsed() < RESET_RISK_TIME)
     }
 
-    fn begin_request(&self) {
-        self.activity.set(Activity::RequestInProgress);
+    /// Records that the head of a request has been received. Returns the earliest time at which the client can have sent
+    /// the request.
+    fn begin_request(&self) -> Instant {
+        let now = Instant::now();
+        self.activity.set(Activity::AwaitingBody(now));
+        self.state.take_unread_since().unwrap_or(now)
     }
 
     fn end_request(&self) {
@@ -191,14 +229,14 @@
     /// timeout.
     async fn close_due(&self, mut phase: watch::Receiver<Phase>) {
         tokio::select! {
-            () = self.close.notified() => (),
+            () = self.close_requested() => (),
             _ = phase.wait_for(|phase| *phase == Phase::Closing) => (),
             () = self.idle_timeout() => return,
         }
         // Yielding lets the I/O driver process pending events before the connection is checked. If the connection were
         // closed although a request has just been received, that request would get no response.
         yield_now().await;
-        let deadline = Instant::now() + HEAD_GRACE;
+        let deadline = self.head_grace_end();
         while self.idle_since().is_some()
             && self.state.head_since().is_some()
             && Instant::now() < deadline
@@ -207,6 +245,15 @@
         }
     }
 
+    /// Returns until when a connection that closes now waits for the rest of a partial request head. If it closes to admit
+    /// another connection, the time since the last byte counts.
+    fn head_grace_end(&self) -> Instant {
+        match self.inactive_since() {
+            Some(since) if self.is_close_requested() => since + HEAD_GRACE_AT_LIMIT,
+            _ => Instant::now() + HEAD_GRACE,
+        }
+    }
+
     /// Returns the deadline for receiving the next request head.
     fn request_due_at(&self) -> Instant {
         // While a request is in progress, this value only sets when the caller computes the deadline again.
@@ -250,7 +297,7 @@
         self.activity.set(match self.activity.get() {
             Activity::AwaitingFirst(_) => Activity::AwaitingFirst(now),
             Activity::Idle(_) => Activity::Idle(now),
-            Activity::RequestInProgress => Activity::RequestInProgress,
+            in_progress @ (Activity::AwaitingBody(_) | Activity::ResponsePending) => in_progress,
         });
         true
     }
@@ -258,8 +305,10 @@
     /// Waits until a closing connection has no request in progress and no blocked write, or until a write has been
     /// blocked for [`MAX_WRITE_STALL`]. At most a partial request head has been received then.
     async fn idle_after_grace(&self) {
+        let mut check_at = self.head_grace_end();
         loop {
-            sleep(HEAD_GRACE).await;
+            sleep_until(check_at).await;
+            check_at = Instant::now() + HEAD_GRACE;
             let is_written =
                 self.state.write_blocked_since().is_none() || self.write_completes().await;
             if !is_written || self.idle_since().is_some() {
--- a/balancer/src/client/mod.rs
+++ b/balancer/src/client/mod.rs
@@ -2,6 +2,7 @@
 
 mod accept;
 mod connection;
+mod open_connections;
 mod request;
 mod response;
 mod server;
--- a/balancer/src/client/request.rs
+++ b/balancer/src/client/request.rs
@@ -53,6 +53,8 @@
     BodyTimeout,
     /// The client disconnected while its request was read.
     ClientDisconnected,
+    /// The request was not complete when its connection had to be closed to admit another one.
+    TooManyConnections,
 }
 
 impl RequestError {
@@ -63,6 +65,7 @@
             Self::WrongMethod => StatusCode::METHOD_NOT_ALLOWED,
             Self::UnknownTenant => StatusCode::FORBIDDEN,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::TooManyConnections => StatusCode::SERVICE_UNAVAILABLE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::MissingCorrelationId
             | Self::MissingIdempotencyKey
@@ -86,6 +89,7 @@
             Self::BodyTooLong => "the body is too long",
             Self::BodyTruncated => "the body broke off",
             Self::BodyTimeout => "the body did not come in time",
+            Self::TooManyConnections => "too many connections",
             Self::ClientDisconnected => "the client has left",
         }
     }
@@ -131,9 +135,13 @@
         }
     }
 
-    /// Reads a request, including its body, and validates it.
-    pub async fn read(&self, request: Request<Incoming>) -> Result<ClientRequest, RequestError> {
-        let received_at = Instant::now();
+    /// Reads a request, including its body, and validates it. Its deadline counts from `received_at`, the earliest time
+    /// at which the client can have sent it.
+    pub async fn read(
+        &self,
+        request: Request<Incoming>,
+        received_at: Instant,
+    ) -> Result<ClientRequest, RequestError> {
         let (parts, body) = request.into_parts();
         let mut headers = parts.headers;
         let class = self.class(&parts.uri, &parts.method, &headers)?;
--- a/balancer/src/client/server.rs
+++ b/balancer/src/client/server.rs
@@ -2,6 +2,7 @@
 
 use super::accept::{AcceptQueue, AcceptedConnection};
 use super::connection::ClientConnection;
+use super::open_connections::OpenConnections;
 use super::request::{RequestError, RequestReader};
 use super::response::{into_http_response, plain_response};
 use super::{Phase, stream};
@@ -15,19 +16,17 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use rustc_hash::FxHashMap;
-use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
-use tokio::time::{sleep, timeout};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::yield_now;
+use tokio::time::{Instant, sleep};
 
-/// The interval at which a server at its connection limit searches for an idle connection to close, while a new
-/// connection waits.
-const PERMIT_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// The longest time that a connection may wait in the accept queue; after that it is closed unread. A request on it
+/// counts as lost if its response comes 0.5 s after its deadline, and the balancer may be held up for 0.15 s.
+const MAX_QUEUE_TIME: Duration = Duration::from_millis(350);
 /// The pause after an accept that failed because of a local fault. While no descriptors are available, immediate
 /// retries would fail again and again and use all CPU time.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -40,68 +39,89 @@
     event_loop: Rc<EventLoop>,
     requests: RequestReader,
     phase: watch::Receiver<Phase>,
-    /// The open client connections, by number.
-    clients: RefCell<FxHashMap<u64, Rc<ClientConnection>>>,
-    next_client: Cell<u64>,
+    connections: OpenConnections,
     accept_log: RateLimitedLog,
+    limit_log: RateLimitedLog,
 }
 
 impl Server {
-    /// Creates a server that submits requests to `event_loop` and follows the phases of the shutdown in `phase`.
-    pub fn new(event_loop: Rc<EventLoop>, site: &Site, phase: watch::Receiver<Phase>) -> Rc<Self> {
+    /// Creates a server that submits requests to `event_loop` and follows the phases of the shutdown in `phase`. It
+    /// serves at most `max_clients` connections at a time.
+    pub fn new(
+        event_loop: Rc<EventLoop>,
+        site: &Site,
+        phase: watch::Receiver<Phase>,
+        max_clients: usize,
+    ) -> Rc<Self> {
         Rc::new(Self {
             event_loop,
             requests: RequestReader::new(site),
             phase,
-            clients: RefCell::default(),
-            next_client: Cell::new(0),
+            connections: OpenConnections::new(max_clients),
             accept_log: RateLimitedLog::default(),
+            limit_log: RateLimitedLog::default(),
         })
     }
 
-    /// Accepts clients until [`Phase::Closing`], and serves at most `max_clients` at a time. Returns when the last
-    /// connection has closed.
-    pub async fn run(self: Rc<Self>, listener: TcpListener, max_clients: usize) {
+    /// Accepts clients until [`Phase::Closing`]. Returns when the last connection has closed.
+    pub async fn run(self: Rc<Self>, listener: TcpListener) {
         let queue = AcceptQueue::new(listener);
-        let permits = Arc::new(Semaphore::new(max_clients));
-        let connections = TaskGroup::default();
+        let tasks = TaskGroup::default();
         let mut phase = self.phase.clone();
         loop {
             let accepted = tokio::select! {
                 accepted = queue.accept() => accepted,
                 _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
             };
-            self.on_accept(accepted, &permits, &connections).await;
+            self.on_accept(accepted, &tasks).await;
         }
         // The kernel has already established the connections in the accept queue, so requests on them need a response.
         // A failed accept does not end this loop; the caller limits its time.
         while let Some(accepted) = queue.accept_waiting().await {
-            self.on_accept(accepted, &permits, &connections).await;
+            self.on_accept(accepted, &tasks).await;
         }
         drop(queue);
-        let _ = permits.acquire_many(max_clients as u32).await;
+        self.connections.all_closed().await;
     }
 
     async fn on_accept(
         self: &Rc<Self>,
         accepted: io::Result<AcceptedConnection>,
-        permits: &Arc<Semaphore>,
-        connections: &TaskGroup,
+        tasks: &TaskGroup,
     ) {
-        match accepted {
-            Ok(connection) => {
-                let permit = self.acquire_permit(permits).await;
-                let open = self.clients.borrow().len() + 1;
-                let max_queue_time = connection.max_queue_time();
-                tracing::debug!(open, ?max_queue_time, "client connection accepted");
-                let server = Rc::clone(self);
-                connections.spawn(async move {
-                    server.serve_client(connection.stream).await;
-                    drop(permit);
-                });
-            }
-            Err(error) => self.on_accept_error(&error).await,
-        }
+        let connection = match accepted {
+            Ok(connection) => connection,
+            Err(error) => return self.on_accept_error(&error).await,
+        };
+        let deadline = connection.queued_since + MAX_QUEUE_TIME;
+        let Some(permit) = self.connections.admit(deadline).await else {
+            return self.shut_unread(connection).await;
+        };
+        let max_queue_time = connection.max_queue_time();
+        let open = self.connections.count();
+        tracing::debug!(open, ?max_queue_time, "client connection accepted");
+        let server = Rc::clone(self);
+        tasks.spawn(async move {
+            server.serve_client(connection).await;
+            drop(permit);
+        });
+    }
+
+    /// Closes a connection on which nothing has been read, because the connection limit is reached and no connection
+    /// could be closed to admit it in time.
+    async fn shut_unread(&self, connection: AcceptedConnection) {
+        let (open, max_queue_time) = (self.connections.count(), connection.max_queue_time());
+        self.limit_log.warn(|suppressed| {
+            tracing::warn!(
+                suppressed,
+                open,
+                ?max_queue_time,
+                "client connection shut unread"
+            );
+        });
+        drop(connection);
+        // Other tasks must run even if new connections arrive as fast as they are closed.
+        yield_now().await;
     }
 
     /// Logs an accept error, and pauses if its cause is a local fault. After other errors the next accept may succeed
@@ -114,44 +134,20 @@
         }
     }
 
-    /// Waits for a connection permit, and closes idle connections until one is available.
-    async fn acquire_permit(&self, permits: &Arc<Semaphore>) -> OwnedSemaphorePermit {
-        // Each iteration searches for an idle connection, because all clients may be busy now and one may become idle
-        // later.
-        loop {
-            if permits.available_permits() == 0 {
-                self.close_longest_idle();
-            }
-            if let Ok(Ok(permit)) =
-                timeout(PERMIT_RETRY_INTERVAL, Arc::clone(permits).acquire_owned()).await
-            {
-                return permit;
-            }
-        }
-    }
-
-    /// Closes the connection that has been idle for the longest; its client can open another.
-    fn close_longest_idle(&self) {
-        let clients = self.clients.borrow();
-        let candidates = clients.values().filter(|client| client.may_be_closed());
-        let idle = candidates.filter_map(|client| client.idle_since().map(|since| (since, client)));
-        if let Some((_, client)) = idle.min_by_key(|(since, _)| *since) {
-            client.request_close();
-        }
-    }
-
-    async fn serve_client(self: Rc<Self>, stream: TcpStream) {
+    async fn serve_client(self: Rc<Self>, connection: AcceptedConnection) {
+        let unread_since = connection.unread_since().await;
+        let stream = connection.stream;
         // An error is ignored: without TCP_NODELAY responses may be delayed, but the connection works.
         let _ = stream.set_nodelay(true);
-        let (stream, mut receiver, state) = stream::split(stream);
-        let number = self.next_client.replace(self.next_client.get() + 1);
+        let (stream, mut receiver, state) = stream::split(stream, unread_since);
         let client = ClientConnection::new(state);
-        self.clients.borrow_mut().insert(number, Rc::clone(&client));
+        let number = self.connections.add(Rc::clone(&client));
         client.serve(stream, &mut receiver, &self).await;
-        self.clients.borrow_mut().remove(&number);
         if client.could_lose_response() {
+            client.request_close();
             receiver.discard_rest(LINGER).await;
         }
+        self.connections.remove(number);
     }
 
     pub(super) fn phase(&self) -> watch::Receiver<Phase> {
@@ -162,6 +158,7 @@
     pub(super) async fn respond(
         &self,
         request: Request<Incoming>,
+        received_at: Instant,
         client: &ClientConnection,
     ) -> Response<Full<Bytes>> {
         let is_draining = || *self.phase.borrow() != Phase::Serving;
@@ -170,9 +167,9 @@
                 plain_response(StatusCode::SERVICE_UNAVAILABLE, "draining")
             }
             "/health/ready" | "/health/live" => plain_response(StatusCode::OK, "ok"),
-            _ => self.forward(request, client).await,
+            _ => self.forward(request, received_at, client).await,
         };
-        if is_draining() || client.is_flooded() {
+        if is_draining() || client.is_flooded() || client.is_close_requested() {
             response
                 .headers_mut()
                 .insert(CONNECTION, HeaderValue::from_static("close"));
@@ -183,9 +180,15 @@
     async fn forward(
         &self,
         request: Request<Incoming>,
+        received_at: Instant,
         client: &ClientConnection,
     ) -> Response<Full<Bytes>> {
-        let request = match self.requests.read(request).await {
+        let read = tokio::select! {
+            biased;
+            read = self.requests.read(request, received_at) => read,
+            () = client.close_requested() => Err(RequestError::TooManyConnections),
+        };
+        let request = match read {
             Ok(_) if client.has_disconnected() => {
                 return RequestError::ClientDisconnected.response();
             }
--- a/balancer/src/client/stream.rs
+++ b/balancer/src/client/stream.rs
@@ -50,6 +50,13 @@
     mode: Cell<ReadMode>,
     /// Since when bytes of an incomplete request are available; `None` if there are none.
     head_since: Cell<Option<Instant>>,
+    /// When bytes were last received; `None` if there were none.
+    last_byte_at: Cell<Option<Instant>>,
+    /// Since when the bytes that were read first may have been received. They can be older than their read if the
+    /// connection waited in the accept queue. `None` once further bytes have been received.
+    unread_since: Cell<Option<Instant>>,
+    /// Whether anything has been written to the client.
+    has_written: Cell<bool>,
     /// Since when a write has been blocked because the client reads nothing; `None` if no write is blocked.
     write_blocked_since: Cell<Option<Instant>>,
 }
@@ -65,14 +72,20 @@
     shared: Rc<Shared>,
     reader: OwnedReadHalf,
     discarded_bytes: usize,
+    /// Whether all bytes that had been received at the first read have been read.
+    has_read_all: bool,
 }
 
 /// A handle to the connection's shared state, for the task that serves the connection.
 #[derive(Clone)]
 pub(super) struct ClientState(Rc<Shared>);
 
-/// Splits a client's connection into its two sides and its state.
-pub(super) fn split(stream: TcpStream) -> (ClientStream, ClientReceiver, ClientState) {
+/// Splits a client's connection into its two sides and its state. `unread_since` is the time since when bytes that can
+/// be read now may have been received; `None` if there are none.
+pub(super) fn split(
+    stream: TcpStream,
+    unread_since: Option<Instant>,
+) -> (ClientStream, ClientReceiver, ClientState) {
     let (reader, writer) = stream.into_split();
     let shared = Rc::new(Shared {
         buffer: RefCell::default(),
@@ -81,6 +94,9 @@
         receiver_waker: RefCell::default(),
         mode: Cell::new(ReadMode::Buffering),
         head_since: Cell::new(None),
+        last_byte_at: Cell::new(None),
+        unread_since: Cell::new(unread_since),
+        has_written: Cell::new(false),
         write_blocked_since: Cell::new(None),
     });
     let stream = ClientStream {
@@ -94,6 +110,7 @@
             shared,
             reader,
             discarded_bytes: 0,
+            has_read_all: false,
         },
         state,
     )
@@ -125,11 +142,27 @@
         self.0.head_since.get()
     }
 
+    /// Returns when bytes were last received; `None` if there were none.
+    pub(super) fn last_byte_at(&self) -> Option<Instant> {
+        self.0.last_byte_at.get()
+    }
+
+    /// Returns since when the bytes received so far may have waited to be read; `None` if they were read as soon as they
+    /// were received, or if this has been called before.
+    pub(super) fn take_unread_since(&self) -> Option<Instant> {
+        self.0.unread_since.take()
+    }
+
     /// Returns whether bytes from the client are discarded, so that no further request can be read.
     pub(super) fn is_flooded(&self) -> bool {
         self.0.mode.get() == ReadMode::Discarding
     }
 
+    /// Returns whether anything has been written to the client.
+    pub(super) fn has_written(&self) -> bool {
+        self.0.has_written.get()
+    }
+
     /// Returns since when a write has been blocked because the client reads nothing; `None` if no write is blocked.
     pub(super) fn write_blocked_since(&self) -> Option<Instant> {
         self.0.write_blocked_since.get()
@@ -171,7 +204,10 @@
             let mut space = [0; READ_SIZE_BYTES];
             let mut read = ReadBuf::new(&mut space);
             match retry_if_interrupted(Pin::new(&mut self.reader).poll_read(cx, &mut read), cx) {
-                Poll::Pending => return Poll::Pending,
+                Poll::Pending => {
+                    self.has_read_all = self.shared.last_byte_at.get().is_some();
+                    return Poll::Pending;
+                }
                 Poll::Ready(Err(error)) => self.shared.end(Err(error.kind())),
                 Poll::Ready(Ok(())) if read.filled().is_empty() => self.shared.end(Ok(())),
                 Poll::Ready(Ok(())) => self.on_bytes(read.filled()),
@@ -184,6 +220,10 @@
     /// discards all further bytes, because pausing at a full buffer would hide the end of the stream.
     fn on_bytes(&mut self, bytes: &[u8]) {
         let shared = &self.shared;
+        shared.last_byte_at.set(Some(Instant::now()));
+        if self.has_read_all {
+            shared.unread_since.set(None);
+        }
         let is_full = shared.buffer.borrow().len() + bytes.len() > MAX_BUFFERED_BYTES;
         if is_full && shared.mode.get() == ReadMode::Responding {
             shared.mode.set(ReadMode::Discarding);
@@ -249,7 +289,10 @@
         match poll {
             Poll::Pending if since.get().is_none() => since.set(Some(Instant::now())),
             Poll::Pending => {}
-            Poll::Ready(_) => since.set(None),
+            Poll::Ready(_) => {
+                since.set(None);
+                self.shared.has_written.set(true);
+            }
         }
         poll
     }
--- a/balancer/src/upstream/connection_limit.rs
+++ b/balancer/src/connection_limit.rs
@@ -1,4 +1,4 @@
-//! The limit on the total number of open connections to all upstreams.
+//! Limits on the number of open connections: of those to all upstreams, and of those to clients.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -44,6 +44,13 @@
         self.open_count.set(self.open_count.get() + 1);
         ConnectionPermit(Rc::clone(self))
     }
+
+    /// Waits until no permit is in use.
+    pub async fn all_released(&self) {
+        while self.open_count.get() > 0 {
+            self.released.notified().await;
+        }
+    }
 }
 
 impl Drop for ConnectionPermit {
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod config;
 pub mod connection;
+mod connection_limit;
 pub mod discovery;
 pub mod error_origin;
 pub mod event_loop;
--- a/balancer/src/process.rs
+++ b/balancer/src/process.rs
@@ -99,8 +99,9 @@
     let counters = RequestCounters::new(&config.site);
     let event_loop = EventLoop::start(balancer, counters, upstreams, discovery, cached_list);
     let (phase, phases) = watch::channel(Phase::Serving);
-    let server = Server::new(Rc::clone(&event_loop), &config.site, phases);
-    let server = spawn_local(server.run(listener, config.max_client_connections()));
+    let max_clients = config.max_client_connections();
+    let server = Server::new(Rc::clone(&event_loop), &config.site, phases, max_clients);
+    let server = spawn_local(server.run(listener));
     Ok(RunningBalancer {
         event_loop,
         phase,
--- a/balancer/src/upstream/mod.rs
+++ b/balancer/src/upstream/mod.rs
@@ -2,7 +2,6 @@
 
 mod attempt;
 mod checkout;
-mod connection_limit;
 mod endpoint_state;
 mod exchange;
 mod health_check;
@@ -12,8 +11,8 @@
 pub use endpoint_state::EndpointState;
 pub use exchange::ForwardedRequest;
 
+use crate::connection_limit::ConnectionLimit;
 use crate::rate_limited_log::RateLimitedLog;
-use connection_limit::ConnectionLimit;
 use endpoint_state::Upstream;
 use frostkeel_policy::{Availability, LoadField, LoadReports, Settings, UpstreamId};
 use rustc_hash::FxHashMap;
--- a/balancer/tests/client_connections.rs
+++ b/balancer/tests/client_connections.rs
@@ -3,7 +3,22 @@
 
 mod common;
 
-use common::{Client, TestConfig, Upstream, at_most_once_request, idempotent_request};
+use common::{BalancerProcess, Client, TestConfig, Upstream};
+use common::{at_most_once_request, idempotent_request, wait_until};
+use std::time::{Duration, Instant};
+
+/// The number of clients that stop within a request. With the descriptor limit of the platform's
+/// smallest balancers, the limit on client connections is lower: 128.
+const STOPPED_CLIENTS: usize = 150;
+/// The number of these that connect before the others do.
+const ACCEPTED_CLIENTS: usize = 100;
+const SMALLEST_SOCKET_LIMIT: usize = 256;
+/// The number of clients that send a complete request after that, and the time between them.
+const COMPLETE_CLIENTS: usize = 20;
+const CLIENT_INTERVAL: Duration = Duration::from_millis(20);
+const TIME_LEFT: Duration = Duration::from_millis(1300);
+/// The time after its deadline within which a request must get its response; later it is lost.
+const MAX_LATENESS: Duration = Duration::from_millis(500);
 
 /// Returns a configuration with a low limit on client connections: 22.
 fn small_config(upstream: &Upstream) -> TestConfig {
@@ -76,3 +91,60 @@
     }
     assert!(upstream.requests().is_empty());
 }
+
+/// Connects clients that send only this part of a request, and stay.
+fn connect_stopped_clients(process: &BalancerProcess, part: &str) -> Vec<Client> {
+    let connect = || {
+        let mut client = process.connect();
+        client.write(part);
+        client
+    };
+    let mut clients: Vec<Client> = (0..ACCEPTED_CLIENTS).map(|_| connect()).collect();
+    // Otherwise the backlog of the listener could overflow. The next connection would then take 1 s,
+    // during which the first clients come closer to their timeout.
+    wait_until("the clients are accepted", || {
+        process.open_descriptors() >= ACCEPTED_CLIENTS
+    });
+    clients.extend((ACCEPTED_CLIENTS..STOPPED_CLIENTS).map(|_| connect()));
+    clients
+}
+
+/// Sends a request on a new connection. Returns the status of the response, or `None` if the
+/// connection was closed without one, and the time since the request was sent.
+fn timed_status(process: &BalancerProcess) -> (Option<u16>, Duration) {
+    let mut client = process.connect();
+    client.write(&idempotent_request(TIME_LEFT.as_millis() as u64));
+    let sent_at = Instant::now();
+    let response = client.read_response();
+    (
+        response.map(|response| response.status()),
+        sent_at.elapsed(),
+    )
+}
+
+/// Guards against requests that wait in the accept queue until they are lost, because clients that
+/// stopped within a request hold all connections.
+#[test]
+fn clients_that_stop_within_a_request_do_not_delay_others() {
+    let half_body = at_most_once_request(8000, "half");
+    let half_body = half_body.replace("Content-Length: 4", "Content-Length: 9");
+    for part in ["", "POST /book HTTP/1.1\r\nHost: a", &half_body] {
+        let upstream = Upstream::healthy();
+        let mut config = TestConfig::with_upstreams(&[upstream.address]);
+        config.max_sockets = SMALLEST_SOCKET_LIMIT;
+        let process = config.start();
+        let _stopped = connect_stopped_clients(&process, part);
+        let responses: Vec<_> = std::thread::scope(|scope| {
+            let send = |_| {
+                std::thread::sleep(CLIENT_INTERVAL);
+                scope.spawn(|| timed_status(&process))
+            };
+            let sends: Vec<_> = (0..COMPLETE_CLIENTS).map(send).collect();
+            sends.into_iter().map(|send| send.join().unwrap()).collect()
+        });
+        for (status, time) in responses {
+            assert_eq!(status, Some(200), "after {part:?}");
+            assert!(time < TIME_LEFT + MAX_LATENESS, "after {part:?}: {time:?}");
+        }
+    }
+}
--- a/balancer/tests/common/client.rs
+++ b/balancer/tests/common/client.rs
@@ -6,9 +6,8 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
-/// The size requested for the receive buffer of a client that must not receive a complete response
-/// at once.
-const SMALL_BUFFER_BYTES: usize = 2048;
+/// The size requested for the buffers of sockets that must not hold a complete response.
+pub const SMALL_BUFFER_BYTES: usize = 2048;
 
 /// A client with one connection to the balancer.
 pub struct Client {
--- a/balancer/tests/common/mod.rs
+++ b/balancer/tests/common/mod.rs
@@ -15,6 +15,7 @@
 mod client;
 mod config;
 mod discovery;
+mod in_process_server;
 mod message;
 mod process;
 mod upstream;
@@ -23,6 +24,7 @@
 pub use client::*;
 pub use config::*;
 pub use discovery::*;
+pub use in_process_server::*;
 pub use message::*;
 pub use process::*;
 pub use upstream::*;
