Let connections wait longer during the shutdown, and shut expired ones at once

Cause: the limit on the time in the queue did not ask for the phase. During the shutdown the client's next connection would be refused, and the shutdown has a limit of its own. Two more were seen in the same lines: once the queue had expired, each further connection still waited for a search (50 ms), and the number of connections to close could overflow after 3 s of waiting.

Change: in normal service a connection expires after 0.3 s and at most one search more; in the shutdown it does not. A connection that has expired does not wait. The number wanted is bounded by the limit.

--- a/balancer/src/client/open_connections.rs
+++ b/balancer/src/client/open_connections.rs
@@ -11,7 +11,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::timeout;
 
 /// The fraction of the connection limit that is kept free for new connections by closing inactive ones.
 const RESERVED_FRACTION: f64 = 0.125;
@@ -50,21 +50,25 @@
         self.limit.open_count()
     }
 
-    /// Waits for a permit for a new connection until `deadline`, and closes inactive connections if few permits are
-    /// left. A permit that is available is returned even after the deadline.
-    pub(super) async fn admit(&self, deadline: Instant) -> Option<ConnectionPermit> {
+    /// Waits for a permit for a new connection, and closes inactive connections if few permits are left. Returns `None`
+    /// if no permit is available although `has_expired` returns true.
+    pub(super) async fn admit(&self, has_expired: impl Fn() -> bool) -> Option<ConnectionPermit> {
         let mut wanted = self.reserved;
         loop {
             self.close_inactive(wanted);
-            let search_at = deadline.min(Instant::now() + SEARCH_INTERVAL);
+            let max_wait = if has_expired() {
+                Duration::ZERO
+            } else {
+                SEARCH_INTERVAL
+            };
             let permit = self.limit.acquire(|| ());
-            if let Ok(permit) = timeout_at(search_at, permit).await {
+            if let Ok(permit) = timeout(max_wait, permit).await {
                 return Some(permit);
             }
-            if Instant::now() >= deadline {
+            if has_expired() {
                 return None;
             }
-            wanted = wanted.saturating_mul(SEARCH_GROWTH);
+            wanted = wanted.saturating_mul(SEARCH_GROWTH).min(self.max_open);
         }
     }
 
@@ -90,7 +94,7 @@
     /// never closed.
     fn close_inactive(&self, wanted: usize) {
         let open = self.count();
-        let needed = open.saturating_add(wanted + 1);
+        let needed = (open + 1).saturating_add(wanted);
         if needed <= self.max_open {
             return;
         }
--- a/balancer/src/client/server.rs
+++ b/balancer/src/client/server.rs
@@ -24,9 +24,10 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep};
 
-/// The longest time that a connection may wait in the accept queue; after that it is closed unread. A request on it
-/// counts as lost if its response comes 0.5 s after its deadline, and the balancer may be held up for 0.15 s.
-const MAX_QUEUE_TIME: Duration = Duration::from_millis(350);
+/// The time in the accept queue after which a connection is closed unread if it cannot be admitted within one more
+/// search. A request on it counts as lost if its response comes 0.5 s after its deadline, and the balancer may be held
+/// up for 0.15 s.
+const MAX_QUEUE_TIME: Duration = Duration::from_millis(300);
 /// The pause after an accept that failed because of a local fault. While no descriptors are available, immediate
 /// retries would fail again and again and use all CPU time.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -93,8 +94,12 @@
             Ok(connection) => connection,
             Err(error) => return self.on_accept_error(&error).await,
         };
-        let deadline = connection.queued_since + MAX_QUEUE_TIME;
-        let Some(permit) = self.connections.admit(deadline).await else {
+        // During the shutdown a connection waits for longer: the shutdown itself is bounded, and the client's next
+        // connection would be refused.
+        let has_expired = || {
+            *self.phase.borrow() == Phase::Serving && connection.max_queue_time() >= MAX_QUEUE_TIME
+        };
+        let Some(permit) = self.connections.admit(has_expired).await else {
             return self.shut_unread(connection).await;
         };
         let max_queue_time = connection.max_queue_time();
--- a/balancer/tests/accept_queue.rs
+++ b/balancer/tests/accept_queue.rs
@@ -16,6 +16,8 @@
 
 /// The limit on client connections.
 const MAX_CLIENTS: usize = 4;
+/// The number of clients that connect when all connections are occupied.
+const WAITING_CLIENTS: usize = 6;
 /// The deadline of the requests that occupy all connections.
 const LONG_TIME_LEFT_MS: u64 = 30_000;
 const TIME_LEFT_MS: u64 = 800;
@@ -95,7 +97,7 @@
     let full = FullServer::start().await;
     let sent_at = Instant::now();
     let mut waiting = Vec::new();
-    for _ in 0..3 {
+    for _ in 0..WAITING_CLIENTS {
         waiting.push(send_request(&full.server, TIME_LEFT_MS).await);
     }
     for client in &mut waiting {
