--- a/balancer/tests/client_connections.rs
+++ b/balancer/tests/client_connections.rs
@@ -1,10 +1,12 @@
 //! The limit on client connections, and clients that occupy a connection without a complete
 //! request.
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod common;
 
 use common::{BalancerProcess, Client, TestConfig, Upstream};
 use common::{at_most_once_request, idempotent_request, wait_until};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 /// The number of clients that stop within a request. With the descriptor limit of the platform's
@@ -16,6 +18,8 @@
 /// The number of clients that send a complete request after that, and the time between them.
 const COMPLETE_CLIENTS: usize = 20;
 const CLIENT_INTERVAL: Duration = Duration::from_millis(20);
+/// The longest time for which clients send single bytes.
+const MAX_TRICKLE_TIME: Duration = Duration::from_secs(5);
 const TIME_LEFT: Duration = Duration::from_millis(1300);
 /// The time after its deadline within which a request must get its response; later it is lost.
 const MAX_LATENESS: Duration = Duration::from_millis(500);
@@ -122,6 +126,28 @@
     )
 }
 
+/// Sends [`COMPLETE_CLIENTS`] requests, each on a new connection. All must be served in time.
+fn assert_others_are_served(process: &BalancerProcess, context: &str) {
+    let responses: Vec<_> = std::thread::scope(|scope| {
+        let send = |_| {
+            std::thread::sleep(CLIENT_INTERVAL);
+            scope.spawn(|| timed_status(process))
+        };
+        let sends: Vec<_> = (0..COMPLETE_CLIENTS).map(send).collect();
+        sends.into_iter().map(|send| send.join().unwrap()).collect()
+    });
+    for (status, time) in responses {
+        assert_eq!(status, Some(200), "{context}");
+        assert!(time < TIME_LEFT + MAX_LATENESS, "{context}: {time:?}");
+    }
+}
+
+fn start_with_smallest_limit(upstream: &Upstream) -> BalancerProcess {
+    let mut config = TestConfig::with_upstreams(&[upstream.address]);
+    config.max_sockets = SMALLEST_SOCKET_LIMIT;
+    config.start()
+}
+
 /// Guards against requests that wait in the accept queue until they are lost, because clients that
 /// stopped within a request hold all connections.
 #[test]
@@ -130,21 +156,34 @@
     let half_body = half_body.replace("Content-Length: 4", "Content-Length: 9");
     for part in ["", "POST /book HTTP/1.1\r\nHost: a", &half_body] {
         let upstream = Upstream::healthy();
-        let mut config = TestConfig::with_upstreams(&[upstream.address]);
-        config.max_sockets = SMALLEST_SOCKET_LIMIT;
-        let process = config.start();
+        let process = start_with_smallest_limit(&upstream);
         let _stopped = connect_stopped_clients(&process, part);
-        let responses: Vec<_> = std::thread::scope(|scope| {
-            let send = |_| {
+        assert_others_are_served(&process, &format!("after {part:?}"));
+    }
+}
+
+/// Guards against requests that wait in the accept queue until they are lost, because clients that
+/// send one byte of a body now and then hold all connections.
+#[test]
+fn clients_that_trickle_a_body_do_not_delay_others() {
+    let upstream = Upstream::healthy();
+    let process = start_with_smallest_limit(&upstream);
+    let long_body = at_most_once_request(8000, "half");
+    let long_body = long_body.replace("Content-Length: 4", "Content-Length: 4000");
+    let mut trickling = connect_stopped_clients(&process, &long_body);
+    let has_ended = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let start = Instant::now();
+            // The time limit ends this thread if an assertion fails.
+            while !has_ended.load(Ordering::SeqCst) && start.elapsed() < MAX_TRICKLE_TIME {
                 std::thread::sleep(CLIENT_INTERVAL);
-                scope.spawn(|| timed_status(&process))
-            };
-            let sends: Vec<_> = (0..COMPLETE_CLIENTS).map(send).collect();
-            sends.into_iter().map(|send| send.join().unwrap()).collect()
+                for client in &mut trickling {
+                    client.write_nonblocking(b"x");
+                }
+            }
         });
-        for (status, time) in responses {
-            assert_eq!(status, Some(200), "after {part:?}");
-            assert!(time < TIME_LEFT + MAX_LATENESS, "after {part:?}: {time:?}");
-        }
-    }
+        assert_others_are_served(&process, "beside clients that trickle");
+        has_ended.store(true, Ordering::SeqCst);
+    });
 }
