--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,6 +6,6 @@
 cd "$root"
 cargo build --release --locked --offline
 mkdir -p target/review-2
-for name in memory crowded_discovery silent_discovery stale_drain drain_undone node; do
+for name in memory crowded_discovery silent_discovery stale_drain drain_undone lost_registrations node; do
   rustc --edition 2024 -O -o "target/review-2/$name" "review/standins-2/$name.rs"
 done
--- a/review/standins-2/run-2.sh
+++ b/review/standins-2/run-2.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Runs one case: run-2.sh FOLDER PROGRAM. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 folder=$1
-root=$(cd "$folder/../.." && pwd)
+root=$(cd "$(dirname "$0")/../.." && pwd)
 program=$root/target/review-2/$2
 if [ ! -x "$program" ]; then
   echo "the case could not run: build it with review/build-2.sh" >&2
