Let a client connection call its request handler through a trait

The modules connection, open_connections and server of the client side depended on each other in a circle: a connection named the server whose connections it is one of. A connection now knows only the trait RequestHandler, which the server implements, and is given the phase of the shutdown as an argument. Nothing that the balancer does changes. client_connections, races_clients, accept_queue and slow_clients pass.

--- a/balancer/src/client/connection.rs
+++ b/balancer/src/client/connection.rs
@@ -2,10 +2,13 @@
 
 use super::Phase;
 use super::request::READ_TIMEOUT;
-use super::server::Server;
 use super::stream::{ClientReceiver, ClientState, ClientStream};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -57,6 +60,18 @@
     ClosedWhileIdle,
 }
 
+/// Responds to the requests on client connections.
+pub(super) trait RequestHandler {
+    /// Responds to a request on the connection of `client`. `received_at` is the earliest time at which the client can
+    /// have sent it.
+    async fn respond(
+        &self,
+        request: Request<Incoming>,
+        received_at: Instant,
+        client: &ClientConnection,
+    ) -> Response<Full<Bytes>>;
+}
+
 /// The state of a client's connection.
 pub(super) struct ClientConnection {
     state: ClientState,
@@ -80,13 +95,14 @@
         self: &Rc<Self>,
         stream: ClientStream,
         receiver: &mut ClientReceiver,
-        server: &Rc<Server>,
+        handler: &Rc<impl RequestHandler>,
+        phase: watch::Receiver<Phase>,
     ) {
         let service = service_fn(|request| {
-            let (server, client) = (Rc::clone(server), Rc::clone(self));
+            let (handler, client) = (Rc::clone(handler), Rc::clone(self));
             async move {
                 let received_at = client.begin_request();
-                let response = server.respond(request, received_at, &client).await;
+                let response = handler.respond(request, received_at, &client).await;
                 client.end_request();
                 Ok::<_, Infallible>(response)
             }
@@ -95,7 +111,7 @@
         builder.max_buf_size(MAX_HEAD_BYTES);
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
-        let close = self.close_due(server.phase());
+        let close = self.close_due(phase);
         tokio::pin!(close);
         let mut is_closing = false;
         let reason = loop {
--- a/balancer/src/client/server.rs
+++ b/balancer/src/client/server.rs
@@ -1,7 +1,7 @@
 //! The server that accepts client connections and responds to their requests.
 
 use super::accept::{AcceptQueue, AcceptedConnection};
-use super::connection::ClientConnection;
+use super::connection::{ClientConnection, RequestHandler};
 use super::open_connections::OpenConnections;
 use super::request::{RequestError, RequestReader};
 use super::response::{into_http_response, plain_response};
@@ -147,7 +147,8 @@
         let (stream, mut receiver, state) = stream::split(stream, unread_since);
         let client = ClientConnection::new(state);
         let number = self.connections.add(Rc::clone(&client));
-        client.serve(stream, &mut receiver, &self).await;
+        let phase = self.phase.clone();
+        client.serve(stream, &mut receiver, &self, phase).await;
         if client.could_lose_response() {
             client.request_close();
             receiver.discard_rest(LINGER).await;
@@ -155,12 +156,32 @@
         self.connections.remove(number);
     }
 
-    pub(super) fn phase(&self) -> watch::Receiver<Phase> {
-        self.phase.clone()
+    async fn forward(
+        &self,
+        request: Request<Incoming>,
+        received_at: Instant,
+        client: &ClientConnection,
+    ) -> Response<Full<Bytes>> {
+        let read = tokio::select! {
+            biased;
+            read = self.requests.read(request, received_at) => read,
+            () = client.close_requested() => Err(RequestError::TooManyConnections),
+        };
+        let request = match read {
+            Ok(_) if client.has_disconnected() => {
+                return RequestError::ClientDisconnected.response();
+            }
+            Ok(request) => request,
+            Err(error) => return error.response(),
+        };
+        client.mark_response_pending();
+        into_http_response(self.event_loop.submit(request).response().await)
     }
+}
 
+impl RequestHandler for Server {
     /// Responds to a client's request, or to a health check of this balancer.
-    pub(super) async fn respond(
+    async fn respond(
         &self,
         request: Request<Incoming>,
         received_at: Instant,
@@ -181,26 +202,4 @@
         }
         response
     }
-
-    async fn forward(
-        &self,
-        request: Request<Incoming>,
-        received_at: Instant,
-        client: &ClientConnection,
-    ) -> Response<Full<Bytes>> {
-        let read = tokio::select! {
-            biased;
-            read = self.requests.read(request, received_at) => read,
-            () = client.close_requested() => Err(RequestError::TooManyConnections),
-        };
-        let request = match read {
-            Ok(_) if client.has_disconnected() => {
-                return RequestError::ClientDisconnected.response();
-            }
-            Ok(request) => request,
-            Err(error) => return error.response(),
-        };
-        client.mark_response_pending();
-        into_http_response(self.event_loop.submit(request).response().await)
-    }
 }
