--- a/balancer/src/client/connection.rs
+++ b/balancer/src/client/connection.rs
@@ -1,8 +1,10 @@
 //! Client connections: how requests are served on them, and when they are closed.
 
 use super::Phase;
+use super::close_reason::CloseReason;
+use super::receiver::ClientReceiver;
 use super::request::READ_TIMEOUT;
-use super::stream::{ClientReceiver, ClientState, ClientStream};
+use super::stream::{ClientState, ClientStream};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -36,6 +38,11 @@
 /// The size of a connection's buffer, which is also the maximum length of a request head.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
+/// The response to a request whose head there is no memory for. It is written directly, because the HTTP library responds
+/// only to complete heads.
+const NO_MEMORY_RESPONSE: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
 /// The current activity of a connection. When a blocked write completes, the time in an idle state is set to that
 /// moment.
 #[derive(Clone, Copy)]
@@ -50,16 +57,6 @@
     Idle(Instant),
 }
 
-/// The reason why a connection is closed.
-enum CloseReason {
-    ClientDisconnected,
-    Completed,
-    ProtocolError(hyper::Error),
-    /// The connection was due to close, and no request was in progress, or a write had been blocked for
-    /// [`MAX_WRITE_STALL`].
-    ClosedWhileIdle,
-}
-
 /// Responds to the requests on client connections.
 pub(super) trait RequestHandler {
     /// Responds to a request on the connection of `client`. `received_at` is the earliest time at which the client can
@@ -78,6 +75,8 @@
     activity: Cell<Activity>,
     /// Whether the connection must close: after the current response, or immediately if none is pending.
     close: watch::Sender<bool>,
+    /// Whether the connection must close immediately.
+    abort: watch::Sender<bool>,
 }
 
 impl ClientConnection {
@@ -87,6 +86,7 @@
             state,
             activity: Cell::new(Activity::AwaitingFirst(Instant::now())),
             close: watch::Sender::new(false),
+            abort: watch::Sender::new(false),
         })
     }
 
@@ -134,8 +134,12 @@
                     }
                 }
                 () = self.idle_after_grace(), if is_closing => break CloseReason::ClosedWhileIdle,
+                () = self.aborted() => break CloseReason::ResponseUnread,
             }
         };
+        if self.is_head_refused() {
+            receiver.respond(NO_MEMORY_RESPONSE);
+        }
         reason.log();
     }
 
@@ -170,6 +174,47 @@
         let _ = self.close.subscribe().wait_for(|close| *close).await;
     }
 
+    /// Requests that the connection be closed at once, even if a response has not been written completely.
+    pub(super) fn abort(&self) {
+        self.abort.send_replace(true);
+    }
+
+    /// Returns whether the connection is closed at once.
+    pub(super) fn is_aborted(&self) -> bool {
+        *self.abort.borrow()
+    }
+
+    async fn aborted(&self) {
+        // The sender is a field of `self`, so the channel cannot be closed.
+        let _ = self.abort.subscribe().wait_for(|abort| *abort).await;
+    }
+
+    /// Returns since when a request, or the rest of one, has been awaited; `None` if nothing of a request has been
+    /// received, or a response is pending.
+    pub(super) fn incomplete_since(&self) -> Option<Instant> {
+        match self.activity.get() {
+            Activity::AwaitingBody(since) => Some(since),
+            Activity::AwaitingFirst(_) | Activity::Idle(_) => self.state.head_since(),
+            Activity::ResponsePending => None,
+        }
+    }
+
+    /// Returns for how long a write has been blocked because the client does not read; zero if none is.
+    pub(super) fn write_blocked_for(&self) -> Duration {
+        let since = self.state.write_blocked_since();
+        since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
+    /// Returns whether there was no memory for the head of a request.
+    pub(super) fn is_head_refused(&self) -> bool {
+        self.state.is_head_refused()
+    }
+
+    /// Returns whether the buffers of the connection have grown, so that it should not be kept.
+    pub(super) fn has_grown(&self) -> bool {
+        self.state.has_long_head()
+    }
+
     /// Returns when the connection became idle; `None` while a request is in progress.
     pub(super) fn idle_since(&self) -> Option<Instant> {
         match self.activity.get() {
@@ -218,11 +263,13 @@
     fn begin_request(&self) -> Instant {
         let now = Instant::now();
         self.activity.set(Activity::AwaitingBody(now));
+        self.state.set_awaiting_head(false);
         self.state.take_unread_since().unwrap_or(now)
     }
 
     fn end_request(&self) {
         self.activity.set(Activity::Idle(Instant::now()));
+        self.state.set_awaiting_head(true);
         self.state.set_responding(false);
     }
 
@@ -333,17 +380,3 @@
         }
     }
 }
-
-impl CloseReason {
-    fn log(&self) {
-        let reason = match self {
-            Self::ClientDisconnected => "client-disconnected",
-            Self::Completed => "completed",
-            Self::ProtocolError(error) => {
-                return tracing::debug!(reason = "protocol-error", %error, "client connection closed");
-            }
-            Self::ClosedWhileIdle => "closed-while-idle",
-        };
-        tracing::debug!(reason, "client connection closed");
-    }
-}
--- a/balancer/src/client/open_connections.rs
+++ b/balancer/src/client/open_connections.rs
@@ -6,10 +6,12 @@
 
 use super::connection::ClientConnection;
 use crate::connection_limit::{ConnectionLimit, ConnectionPermit};
+use crate::memory_budget::{CLIENT_CONNECTION_BYTES, MemoryBudget, MemoryReservation, MemoryUse};
 use crate::rate_limited_log::RateLimitedLog;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -21,6 +23,25 @@
 /// The factor by which the number of connections to close grows with each search.
 const SEARCH_GROWTH: usize = 2;
 
+/// The memory that is expected to be released when a connection without a complete request is closed: that of a long
+/// body and its headers.
+const REQUEST_BODY_BYTES: usize = 64 * 1024;
+/// The time for which a client may send nothing of an incomplete request, and the time that the request may take in
+/// total, until its connection can be closed to reclaim memory.
+const MIN_REQUEST_STALL: Duration = Duration::from_millis(100);
+const MIN_REQUEST_TIME: Duration = Duration::from_millis(250);
+/// The time for which a connection may have no request until it can be closed to reclaim memory. Closed earlier, it could
+/// cross the next request of its client too often.
+const MIN_IDLE_TIME: Duration = Duration::from_secs(2);
+/// The time for which a client may read nothing of its response until the connection can be closed to reclaim memory.
+const MIN_RECLAIM_STALL: Duration = Duration::from_secs(1);
+
+/// The permit and the memory of one open connection.
+pub(super) struct AdmissionPermit {
+    _connection: ConnectionPermit,
+    _memory: MemoryReservation,
+}
+
 /// The open client connections.
 pub(super) struct OpenConnections {
     limit: Rc<ConnectionLimit>,
@@ -29,19 +50,23 @@
     reserved: usize,
     clients: RefCell<FxHashMap<u64, Rc<ClientConnection>>>,
     next_number: Cell<u64>,
+    memory: Arc<MemoryBudget>,
     limit_log: RateLimitedLog,
+    memory_log: RateLimitedLog,
 }
 
 impl OpenConnections {
-    /// Creates an empty set, with a limit of `max_open` connections.
-    pub(super) fn new(max_open: usize) -> Self {
+    /// Creates an empty set, with a limit of `max_open` connections, whose memory is reserved in `memory`.
+    pub(super) fn new(max_open: usize, memory: &Arc<MemoryBudget>) -> Self {
         Self {
             limit: ConnectionLimit::new(max_open),
             max_open,
             reserved: (max_open as f64 * RESERVED_FRACTION).ceil() as usize,
             clients: RefCell::default(),
             next_number: Cell::new(0),
+            memory: Arc::clone(memory),
             limit_log: RateLimitedLog::default(),
+            memory_log: RateLimitedLog::default(),
         }
     }
 
@@ -52,7 +77,7 @@
 
     /// Waits for a permit for a new connection, and closes inactive connections if few permits are left. Returns `None`
     /// if no permit is available although `has_expired` returns true.
-    pub(super) async fn admit(&self, has_expired: impl Fn() -> bool) -> Option<ConnectionPermit> {
+    pub(super) async fn admit(&self, has_expired: impl Fn() -> bool) -> Option<AdmissionPermit> {
         let mut wanted = self.reserved;
         loop {
             self.close_inactive(wanted);
@@ -61,8 +86,7 @@
             } else {
                 SEARCH_INTERVAL
             };
-            let permit = self.limit.acquire(|| ());
-            if let Ok(permit) = timeout(max_wait, permit).await {
+            if let Ok(permit) = timeout(max_wait, self.permit()).await {
                 return Some(permit);
             }
             if has_expired() {
@@ -72,6 +96,23 @@
         }
     }
 
+    /// Waits for a permit and the memory for a new connection.
+    async fn permit(&self) -> AdmissionPermit {
+        let connection = self.limit.acquire(|| ()).await;
+        let (memory_use, bytes) = (MemoryUse::ClientConnection, CLIENT_CONNECTION_BYTES);
+        loop {
+            let released = self.memory.released();
+            if let Some(memory) = self.memory.try_reserve(memory_use, bytes) {
+                return AdmissionPermit {
+                    _connection: connection,
+                    _memory: memory,
+                };
+            }
+            self.reclaim_memory(bytes);
+            released.await;
+        }
+    }
+
     /// Adds a connection that has a permit, and returns its number.
     pub(super) fn add(&self, client: Rc<ClientConnection>) -> u64 {
         let number = self.next_number.replace(self.next_number.get() + 1);
@@ -122,4 +163,76 @@
             );
         });
     }
+
+    /// Closes connections until `wanted` bytes of memory are expected to be released: first those in the middle of a
+    /// request, beginning with the one whose request began first; then idle ones; then those whose clients do not read
+    /// their responses. Returns how many bytes are still missing.
+    pub(super) fn reclaim_memory(&self, wanted: usize) -> usize {
+        let clients = self.clients.borrow();
+        let is_closing = |client: &&Rc<ClientConnection>| client.is_about_to_close();
+        let expected: usize = clients.values().filter(is_closing).map(held_bytes).sum();
+        let mut missing = wanted.saturating_sub(expected);
+        if missing == 0 {
+            return 0;
+        }
+        let mut closing = 0;
+        let mut close = |client: &Rc<ClientConnection>| {
+            if missing > 0 {
+                missing = missing.saturating_sub(held_bytes(client));
+                closing += 1;
+                client.request_close();
+            }
+        };
+        let mut closable: Vec<_> = clients
+            .values()
+            .filter(|client| client.may_be_closed() && is_reclaimable(client))
+            .collect();
+        closable.sort_by_key(|client| {
+            let incomplete_since = client.incomplete_since();
+            let since = incomplete_since.or(client.idle_since());
+            (incomplete_since.is_none(), since)
+        });
+        closable.into_iter().for_each(&mut close);
+        if missing > 0 {
+            let stalled = |client: &&Rc<ClientConnection>| {
+                client.write_blocked_for() >= MIN_RECLAIM_STALL && !client.is_aborted()
+            };
+            for client in clients.values().filter(stalled) {
+                missing = missing.saturating_sub(held_bytes(client));
+                closing += 1;
+                client.abort();
+            }
+        }
+        let reserved = self.memory.reserved_bytes();
+        self.memory_log.warn(|suppressed| {
+            tracing::warn!(suppressed, reserved, closing, "memory budget spent");
+        });
+        missing
+    }
+}
+
+/// Returns whether a connection can be closed to reclaim memory: no response is pending, and if a request is incomplete,
+/// its client has been given time to send it. Requests that arrive at full speed are not closed, since then none of many
+/// would ever be complete.
+fn is_reclaimable(client: &ClientConnection) -> bool {
+    let Some(inactive_since) = client.inactive_since() else {
+        return false;
+    };
+    match client.incomplete_since() {
+        Some(since) => {
+            inactive_since.elapsed() >= MIN_REQUEST_STALL || since.elapsed() >= MIN_REQUEST_TIME
+        }
+        None => inactive_since.elapsed() >= MIN_IDLE_TIME,
+    }
+}
+
+/// Returns the memory that is expected to be released when a connection is closed.
+fn held_bytes(client: &Rc<ClientConnection>) -> usize {
+    let request_bytes =
+        if client.incomplete_since().is_some() || client.write_blocked_for() > Duration::ZERO {
+            REQUEST_BODY_BYTES
+        } else {
+            0
+        };
+    CLIENT_CONNECTION_BYTES + request_bytes
 }
--- a/balancer/src/client/request.rs
+++ b/balancer/src/client/request.rs
@@ -1,18 +1,21 @@
 //! The reading and validation of client requests.
 
 use super::response::plain_response;
+use crate::head_memory::{LONG_HEAD_BYTES, MAX_SHORT_HEAD_BYTES};
 use crate::headers::{self, CORRELATION_ID, IDEMPOTENCY_KEY, RETRY, TENANT, TIME_LEFT, WORK_HINT};
 use crate::in_flight::ClientRequest;
+use crate::memory_budget::{MemoryBudget, MemoryReservation, MemoryUse};
 use crate::upstream::ForwardedRequest;
 use bytes::Bytes;
-use frostkeel_message_body::{BodyError, read_complete};
+use frostkeel_message_body::{BodyError, ReservedBodyError, read_reserved};
 use frostkeel_policy::{ClassId, Effect, TenantId};
 use frostkeel_settings::Site;
 use http_body_util::Full;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use rustc_hash::FxHashMap;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -25,6 +28,13 @@
 /// The timeout for receiving a request head, and for receiving a body. It ensures that a client that sends no valid
 /// request gets an error response or a close within 3 s of connecting.
 pub const READ_TIMEOUT: Duration = Duration::from_millis(2500);
+/// The longest time for which a request waits for memory until it is rejected.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(100);
+/// The number of copies of a request's headers: the client's, and those of its attempt.
+const HEADER_COPIES: usize = 2;
+/// The memory of a request beside its headers and its body: the receive buffers of its connection while it is read, and
+/// then its entries in the tables, its attempts and their tasks.
+const REQUEST_BYTES: usize = 20 * 1024;
 
 /// The reason why a request is invalid. The client gets an error response, and the request is not submitted to the
 /// decision module.
@@ -55,6 +65,8 @@
     ClientDisconnected,
     /// The request was not complete when its connection had to be closed to admit another one.
     TooManyConnections,
+    /// There was no memory for the request.
+    NoMemory,
 }
 
 impl RequestError {
@@ -65,7 +77,7 @@
             Self::WrongMethod => StatusCode::METHOD_NOT_ALLOWED,
             Self::UnknownTenant => StatusCode::FORBIDDEN,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::TooManyConnections => StatusCode::SERVICE_UNAVAILABLE,
+            Self::TooManyConnections | Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::MissingCorrelationId
             | Self::MissingIdempotencyKey
@@ -90,6 +102,7 @@
             Self::BodyTruncated => "the body broke off",
             Self::BodyTimeout => "the body did not come in time",
             Self::TooManyConnections => "too many connections",
+            Self::NoMemory => "no memory for the request",
             Self::ClientDisconnected => "the client has left",
         }
     }
@@ -111,11 +124,12 @@
 pub struct RequestReader {
     classes: FxHashMap<String, ClassRules>,
     tenants: FxHashMap<String, TenantId>,
+    memory: Arc<MemoryBudget>,
 }
 
 impl RequestReader {
-    /// Creates a reader for a site's classes and tenants.
-    pub fn new(site: &Site) -> Self {
+    /// Creates a reader for a site's classes and tenants. The memory of requests is reserved in `memory`.
+    pub fn new(site: &Site, memory: &Arc<MemoryBudget>) -> Self {
         let effects = site.settings.classes.iter().map(|class| class.effect);
         let classes = site.names.classes.iter().cloned().zip(effects).enumerate();
         let classes = classes.map(|(k, (name, effect))| {
@@ -132,6 +146,7 @@
         Self {
             classes: classes.collect(),
             tenants: tenants.collect(),
+            memory: Arc::clone(memory),
         }
     }
 
@@ -151,10 +166,13 @@
         let is_retry = headers
             .get(RETRY)
             .is_some_and(|value| value.as_bytes() == b"1");
-        let body = read_body(body, received_at + time_left.min(READ_TIMEOUT)).await?;
         headers::strip_hop_by_hop(&mut headers);
-        let path = parts.uri.path_and_query();
-        let target = path.map(|path| Uri::from(path.clone())).unwrap_or_default();
+        headers::release_receive_buffer(&mut headers);
+        let target = target(&parts.uri);
+        drop(parts.uri);
+        let memory = self.reserve(head_memory_bytes(&headers, &target)).await?;
+        let until = received_at + time_left.min(READ_TIMEOUT);
+        let body = self.read_body(body, until).await?;
         let forwarded = ForwardedRequest {
             method: parts.method,
             target,
@@ -169,9 +187,35 @@
             work_ms,
             is_retry,
             forwarded,
+            _memory: memory,
         })
     }
 
+    /// Reserves memory for a request.
+    async fn reserve(&self, bytes: usize) -> Result<MemoryReservation, RequestError> {
+        let until = Instant::now() + MAX_MEMORY_WAIT;
+        let reserved = self.memory.reserve(MemoryUse::Request, bytes, until);
+        reserved.await.ok_or(RequestError::NoMemory)
+    }
+
+    /// Reads a complete body; the error is [`RequestError::BodyTimeout`] if it has not been received at `until`.
+    async fn read_body(&self, body: Incoming, until: Instant) -> Result<Bytes, RequestError> {
+        let read = read_reserved(body, MAX_BODY_BYTES, async |bytes| {
+            self.reserve(bytes).await
+        });
+        match timeout_at(until, read).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(ReservedBodyError::Body(BodyError::TooLong { .. }))) => {
+                Err(RequestError::BodyTooLong)
+            }
+            Ok(Err(ReservedBodyError::Body(BodyError::Invalid(_)))) => {
+                Err(RequestError::BodyTruncated)
+            }
+            Ok(Err(ReservedBodyError::NotReserved(error))) => Err(error),
+            Err(_) => Err(RequestError::BodyTimeout),
+        }
+    }
+
     /// Returns the class that the path names, if the method and the headers are valid for that class.
     fn class(
         &self,
@@ -247,17 +291,25 @@
     }
 }
 
-/// Reads a complete body; the error is [`RequestError::BodyTimeout`] if it has not been received at `until`.
-async fn read_body(body: Incoming, until: Instant) -> Result<Bytes, RequestError> {
-    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
-        return Err(RequestError::BodyTooLong);
-    }
-    match timeout_at(until, read_complete(body, MAX_BODY_BYTES)).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(BodyError::TooLong { .. })) => Err(RequestError::BodyTooLong),
-        Ok(Err(BodyError::Invalid(_))) => Err(RequestError::BodyTruncated),
-        Err(_) => Err(RequestError::BodyTimeout),
-    }
+/// Returns a copy of the path and query of a URI, which is a slice of the receive buffer of its connection.
+fn target(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    // The text of a valid path is valid.
+    path.parse().unwrap_or_default()
+}
+
+/// Returns the memory of a request without its body.
+fn head_memory_bytes(headers: &HeaderMap, target: &Uri) -> usize {
+    let path = target
+        .path_and_query()
+        .map_or(0, |path| path.as_str().len());
+    let bytes = headers::memory_bytes(headers) + path;
+    let long_head_bytes = if bytes > MAX_SHORT_HEAD_BYTES {
+        LONG_HEAD_BYTES
+    } else {
+        0
+    };
+    REQUEST_BYTES + HEADER_COPIES * bytes + long_head_bytes
 }
 
 /// Returns the value of a header; `None` if it is missing or is not visible ASCII text.
--- a/balancer/src/client/server.rs
+++ b/balancer/src/client/server.rs
@@ -5,9 +5,10 @@
 use super::open_connections::OpenConnections;
 use super::request::{RequestError, RequestReader};
 use super::response::{into_http_response, plain_response};
-use super::{Phase, stream};
+use super::{Phase, receiver};
 use crate::error_origin::ErrorOrigin;
 use crate::event_loop::EventLoop;
+use crate::memory_budget::{MemoryBudget, UPSTREAM_CONNECTION_BYTES};
 use crate::rate_limited_log::RateLimitedLog;
 use crate::task_group::TaskGroup;
 use bytes::Bytes;
@@ -18,6 +19,7 @@
 use hyper::{Request, Response, StatusCode};
 use std::io;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -41,24 +43,27 @@
     requests: RequestReader,
     phase: watch::Receiver<Phase>,
     connections: OpenConnections,
+    memory: Arc<MemoryBudget>,
     accept_log: RateLimitedLog,
     limit_log: RateLimitedLog,
 }
 
 impl Server {
     /// Creates a server that submits requests to `event_loop` and follows the phases of the shutdown in `phase`. It
-    /// serves at most `max_clients` connections at a time.
+    /// serves at most `max_clients` connections at a time, and reserves what clients send in `memory`.
     pub fn new(
         event_loop: Rc<EventLoop>,
         site: &Site,
         phase: watch::Receiver<Phase>,
         max_clients: usize,
+        memory: &Arc<MemoryBudget>,
     ) -> Rc<Self> {
         Rc::new(Self {
             event_loop,
-            requests: RequestReader::new(site),
+            requests: RequestReader::new(site, memory),
             phase,
-            connections: OpenConnections::new(max_clients),
+            connections: OpenConnections::new(max_clients, memory),
+            memory: Arc::clone(memory),
             accept_log: RateLimitedLog::default(),
             limit_log: RateLimitedLog::default(),
         })
@@ -68,6 +73,9 @@
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         let queue = AcceptQueue::new(listener);
         let tasks = TaskGroup::default();
+        let server = Rc::clone(&self);
+        let reclaims = TaskGroup::default();
+        reclaims.spawn(async move { server.reclaim_memory_on_request().await });
         let mut phase = self.phase.clone();
         loop {
             let accepted = tokio::select! {
@@ -85,6 +93,16 @@
         self.connections.all_closed().await;
     }
 
+    /// Reclaims memory whenever that is requested; never returns.
+    async fn reclaim_memory_on_request(&self) {
+        loop {
+            let wanted = self.memory.reclaim_requested().await;
+            let missing = self.connections.reclaim_memory(wanted);
+            let count = missing.div_ceil(UPSTREAM_CONNECTION_BYTES);
+            self.event_loop.close_idle_connections(count);
+        }
+    }
+
     async fn on_accept(
         self: &Rc<Self>,
         accepted: io::Result<AcceptedConnection>,
@@ -144,12 +162,12 @@
         let stream = connection.stream;
         // An error is ignored: without TCP_NODELAY responses may be delayed, but the connection works.
         let _ = stream.set_nodelay(true);
-        let (stream, mut receiver, state) = stream::split(stream, unread_since);
+        let (stream, mut receiver, state) = receiver::split(stream, unread_since, &self.memory);
         let client = ClientConnection::new(state);
         let number = self.connections.add(Rc::clone(&client));
         let phase = self.phase.clone();
         client.serve(stream, &mut receiver, &self, phase).await;
-        if client.could_lose_response() {
+        if client.could_lose_response() || client.is_head_refused() {
             client.request_close();
             receiver.discard_rest(LINGER).await;
         }
@@ -172,6 +190,11 @@
                 return RequestError::ClientDisconnected.response();
             }
             Ok(request) => request,
+            // The rest of the body is not read, so the next request could not be found.
+            Err(error @ RequestError::NoMemory) => {
+                client.request_close();
+                return error.response();
+            }
             Err(error) => return error.response(),
         };
         client.mark_response_pending();
@@ -195,7 +218,8 @@
             "/health/ready" | "/health/live" => plain_response(StatusCode::OK, "ok"),
             _ => self.forward(request, received_at, client).await,
         };
-        if is_draining() || client.is_flooded() || client.is_close_requested() {
+        let is_last = client.is_flooded() || client.has_grown() || client.is_close_requested();
+        if is_draining() || is_last {
             response
                 .headers_mut()
                 .insert(CONNECTION, HeaderValue::from_static("close"));
--- a/balancer/src/client/stream.rs
+++ b/balancer/src/client/stream.rs
@@ -1,60 +1,64 @@
 //! The two sides of a client's connection: the stream for the HTTP server, and the receiver that fills its buffer.
 //!
-//! The HTTP server reads only the current request, and unread bytes after it would hide the end of the stream. The
-//! receiver therefore reads ahead, up to a limit, to detect a disconnect immediately.
+//! This file has the stream and the state that both sides share.
 
 use crate::error_origin::retry_if_interrupted;
+use crate::head_memory::{HeadMemory, MAX_READ_BYTES};
+use crate::memory_budget::{MemoryBudget, MemoryReservation, MemoryUse};
 use bytes::{Buf, BytesMut};
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
-use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::time::{Instant, timeout};
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::time::Instant;
 
-/// The maximum number of bytes that are read ahead.
-const MAX_BUFFERED_BYTES: usize = 32 * 1024;
-/// The maximum number of bytes that are read at a time.
-const READ_SIZE_BYTES: usize = 4 * 1024;
-/// The maximum number of bytes that are discarded on one connection, after the current request or after the last
-/// response.
-const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
+/// The maximum number of bytes that are read ahead within the memory of every connection.
+pub(super) const MAX_SMALL_BUFFER_BYTES: usize = 8 * 1024;
+/// The maximum number of bytes that are read ahead while a response is pending.
+pub(super) const MAX_BUFFERED_BYTES: usize = 32 * 1024;
+/// The memory that is reserved for more than [`MAX_SMALL_BUFFER_BYTES`]. The buffer doubles as it grows.
+const LARGE_BUFFER_BYTES: usize = 2 * MAX_BUFFERED_BYTES;
 
 /// The way in which received bytes are handled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ReadMode {
-    /// Bytes are buffered. When the buffer is full, reading pauses until the HTTP server has taken some.
+pub(super) enum ReadMode {
+    /// Bytes are buffered. When the small buffer is full, reading pauses until the HTTP server has taken some.
     Buffering,
     /// Bytes are buffered while a response is pending. The HTTP server reads nothing during that time, so when the
-    /// buffer is full the client counts as flooding, and the mode changes to [`Self::Discarding`].
+    /// buffer is full, or there is no memory for a larger one, the client counts as flooding, and the mode changes to
+    /// [`Self::Discarding`].
     Responding,
     /// Bytes are discarded, because the client has exceeded the buffer or no further request will be read.
     Discarding,
 }
 
 /// The state shared by both sides of a connection.
-struct Shared {
+pub(super) struct Shared {
     /// The bytes that were read ahead.
-    buffer: RefCell<BytesMut>,
+    pub(super) buffer: RefCell<BytesMut>,
+    /// The reservation for a buffer of more than [`MAX_SMALL_BUFFER_BYTES`]; `None` while it is smaller.
+    buffer_memory: RefCell<Option<MemoryReservation>>,
+    memory: Arc<MemoryBudget>,
+    /// The memory of the request head that the HTTP server is receiving.
+    head: HeadMemory,
     /// The result with which reading ended: the end of the stream, or an error. `None` while it continues.
-    ended: RefCell<Option<Result<(), io::ErrorKind>>>,
+    pub(super) ended: RefCell<Option<Result<(), io::ErrorKind>>>,
     /// Wakes the HTTP server when bytes have been received.
     server_waker: RefCell<Option<Waker>>,
     /// Wakes the receiver when the buffer has space again.
-    receiver_waker: RefCell<Option<Waker>>,
-    mode: Cell<ReadMode>,
+    pub(super) receiver_waker: RefCell<Option<Waker>>,
+    pub(super) mode: Cell<ReadMode>,
     /// Since when bytes of an incomplete request are available; `None` if there are none.
-    head_since: Cell<Option<Instant>>,
+    pub(super) head_since: Cell<Option<Instant>>,
     /// When bytes were last received; `None` if there were none.
-    last_byte_at: Cell<Option<Instant>>,
+    pub(super) last_byte_at: Cell<Option<Instant>>,
     /// Since when the bytes that were read first may have been received. They can be older than their read if the
     /// connection waited in the accept queue. `None` once further bytes have been received.
-    unread_since: Cell<Option<Instant>>,
+    pub(super) unread_since: Cell<Option<Instant>>,
     /// Whether anything has been written to the client.
     has_written: Cell<bool>,
     /// Since when a write has been blocked because the client reads nothing; `None` if no write is blocked.
@@ -67,56 +71,15 @@
     writer: OwnedWriteHalf,
 }
 
-/// The side that reads ahead and detects that the client disconnects.
-pub(super) struct ClientReceiver {
-    shared: Rc<Shared>,
-    reader: OwnedReadHalf,
-    discarded_bytes: usize,
-    /// Whether all bytes that had been received at the first read have been read.
-    has_read_all: bool,
-}
-
 /// A handle to the connection's shared state, for the task that serves the connection.
 #[derive(Clone)]
 pub(super) struct ClientState(Rc<Shared>);
 
-/// Splits a client's connection into its two sides and its state. `unread_since` is the time since when bytes that can
-/// be read now may have been received; `None` if there are none.
-pub(super) fn split(
-    stream: TcpStream,
-    unread_since: Option<Instant>,
-) -> (ClientStream, ClientReceiver, ClientState) {
-    let (reader, writer) = stream.into_split();
-    let shared = Rc::new(Shared {
-        buffer: RefCell::default(),
-        ended: RefCell::default(),
-        server_waker: RefCell::default(),
-        receiver_waker: RefCell::default(),
-        mode: Cell::new(ReadMode::Buffering),
-        head_since: Cell::new(None),
-        last_byte_at: Cell::new(None),
-        unread_since: Cell::new(unread_since),
-        has_written: Cell::new(false),
-        write_blocked_since: Cell::new(None),
-    });
-    let stream = ClientStream {
-        shared: Rc::clone(&shared),
-        writer,
-    };
-    let state = ClientState(Rc::clone(&shared));
-    (
-        stream,
-        ClientReceiver {
-            shared,
-            reader,
-            discarded_bytes: 0,
-            has_read_all: false,
-        },
-        state,
-    )
-}
-
 impl ClientState {
+    pub(super) fn new(shared: Rc<Shared>) -> Self {
+        Self(shared)
+    }
+
     /// Returns whether the client has closed the connection or shut down its sending side.
     pub(super) fn has_disconnected(&self) -> bool {
         self.0.ended.borrow().is_some()
@@ -158,6 +121,25 @@
         self.0.mode.get() == ReadMode::Discarding
     }
 
+    /// Records that a request head is awaited from now on, or that it has been received.
+    pub(super) fn set_awaiting_head(&self, is_awaiting: bool) {
+        if is_awaiting {
+            self.0.head.begin();
+        } else {
+            self.0.head.complete();
+        }
+    }
+
+    /// Returns whether a long request head has been received, so that the connection's buffers have grown.
+    pub(super) fn has_long_head(&self) -> bool {
+        self.0.head.is_long()
+    }
+
+    /// Returns whether there was no memory for a request head, so that the request cannot be read.
+    pub(super) fn is_head_refused(&self) -> bool {
+        self.0.head.is_refused()
+    }
+
     /// Returns whether anything has been written to the client.
     pub(super) fn has_written(&self) -> bool {
         self.0.has_written.get()
@@ -170,92 +152,56 @@
 }
 
 impl Shared {
-    fn end(&self, result: Result<(), io::ErrorKind>) {
+    /// Creates the state of a connection on which a request head is awaited.
+    pub(super) fn new(unread_since: Option<Instant>, memory: &Arc<MemoryBudget>) -> Rc<Self> {
+        let head = HeadMemory::new(memory, MemoryUse::Request);
+        head.begin();
+        Rc::new(Self {
+            buffer: RefCell::default(),
+            buffer_memory: RefCell::default(),
+            memory: Arc::clone(memory),
+            head,
+            ended: RefCell::default(),
+            server_waker: RefCell::default(),
+            receiver_waker: RefCell::default(),
+            mode: Cell::new(ReadMode::Buffering),
+            head_since: Cell::new(None),
+            last_byte_at: Cell::new(None),
+            unread_since: Cell::new(unread_since),
+            has_written: Cell::new(false),
+            write_blocked_since: Cell::new(None),
+        })
+    }
+
+    pub(super) fn end(&self, result: Result<(), io::ErrorKind>) {
         *self.ended.borrow_mut() = Some(result);
         self.wake_server();
     }
 
+    /// Returns whether there is memory to buffer this number of bytes.
+    pub(super) fn has_buffer_memory(&self, bytes: usize) -> bool {
+        let mut reservation = self.buffer_memory.borrow_mut();
+        if bytes > MAX_SMALL_BUFFER_BYTES && reservation.is_none() {
+            *reservation = self
+                .memory
+                .try_reserve(MemoryUse::Request, LARGE_BUFFER_BYTES);
+        }
+        bytes <= MAX_SMALL_BUFFER_BYTES || reservation.is_some()
+    }
+
     fn wake_receiver(&self) {
         if let Some(waker) = self.receiver_waker.borrow_mut().take() {
             waker.wake();
         }
     }
 
-    fn wake_server(&self) {
+    pub(super) fn wake_server(&self) {
         if let Some(waker) = self.server_waker.borrow_mut().take() {
             waker.wake();
         }
     }
 }
 
-impl ClientReceiver {
-    /// Reads ahead until the client has closed the connection or shut down its sending side.
-    pub(super) async fn disconnected(&mut self) {
-        poll_fn(|cx| self.poll_disconnected(cx)).await;
-    }
-
-    fn poll_disconnected(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        while self.shared.ended.borrow().is_none() {
-            let is_full = self.shared.buffer.borrow().len() >= MAX_BUFFERED_BYTES;
-            if is_full && self.shared.mode.get() == ReadMode::Buffering {
-                *self.shared.receiver_waker.borrow_mut() = Some(cx.waker().clone());
-                return Poll::Pending;
-            }
-            let mut space = [0; READ_SIZE_BYTES];
-            let mut read = ReadBuf::new(&mut space);
-            match retry_if_interrupted(Pin::new(&mut self.reader).poll_read(cx, &mut read), cx) {
-                Poll::Pending => {
-                    self.has_read_all = self.shared.last_byte_at.get().is_some();
-                    return Poll::Pending;
-                }
-                Poll::Ready(Err(error)) => self.shared.end(Err(error.kind())),
-                Poll::Ready(Ok(())) if read.filled().is_empty() => self.shared.end(Ok(())),
-                Poll::Ready(Ok(())) => self.on_bytes(read.filled()),
-            }
-        }
-        Poll::Ready(())
-    }
-
-    /// Buffers received bytes for the HTTP server. If the client exceeds the buffer while a response is pending,
-    /// discards all further bytes, because pausing at a full buffer would hide the end of the stream.
-    fn on_bytes(&mut self, bytes: &[u8]) {
-        let shared = &self.shared;
-        shared.last_byte_at.set(Some(Instant::now()));
-        if self.has_read_all {
-            shared.unread_since.set(None);
-        }
-        let is_full = shared.buffer.borrow().len() + bytes.len() > MAX_BUFFERED_BYTES;
-        if is_full && shared.mode.get() == ReadMode::Responding {
-            shared.mode.set(ReadMode::Discarding);
-        }
-        if shared.mode.get() == ReadMode::Discarding {
-            self.discarded_bytes += bytes.len();
-            if self.discarded_bytes > MAX_DISCARDED_BYTES {
-                shared.end(Err(io::ErrorKind::ConnectionAborted));
-            }
-            return;
-        }
-        shared.buffer.borrow_mut().extend_from_slice(bytes);
-        shared
-            .head_since
-            .set(shared.head_since.get().or_else(|| Some(Instant::now())));
-        shared.wake_server();
-    }
-
-    /// Discards further bytes until the client closes the connection or `max_time` has passed. Closing a connection
-    /// with unread bytes resets it, and the reset may discard the last response. The direction to the client must have
-    /// been shut down before.
-    pub(super) async fn discard_rest(mut self, max_time: Duration) {
-        // After a timeout, the connection is closed although the client still sends or keeps it open.
-        let _ = timeout(max_time, poll_fn(|cx| self.poll_discard(cx))).await;
-    }
-
-    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        self.shared.mode.set(ReadMode::Discarding);
-        self.poll_disconnected(cx)
-    }
-}
-
 impl AsyncRead for ClientStream {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -274,15 +220,26 @@
                 }
             };
         }
-        let count = buffer.len().min(buf.remaining());
+        let count = buffer.len().min(buf.remaining()).min(MAX_READ_BYTES);
+        if !shared.head.receive(count) {
+            return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+        }
         buf.put_slice(&buffer[..count]);
         buffer.advance(count);
+        if buffer.is_empty() {
+            *buffer = BytesMut::new();
+            shared.buffer_memory.take();
+        }
         shared.wake_receiver();
         Poll::Ready(Ok(()))
     }
 }
 
 impl ClientStream {
+    pub(super) fn new(shared: Rc<Shared>, writer: OwnedWriteHalf) -> Self {
+        Self { shared, writer }
+    }
+
     /// Records whether a write is blocked, and returns its result unchanged.
     fn record_write<T>(&self, poll: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         let since = &self.shared.write_blocked_since;
--- a/balancer/src/config.rs
+++ b/balancer/src/config.rs
@@ -21,6 +21,10 @@
 const UPSTREAM_FRACTION: f64 = 0.45;
 /// The default of `limits.sockets`.
 const DEFAULT_SOCKETS: usize = 1024;
+/// The default of `limits.memory_mb`, in megabytes.
+const DEFAULT_MEMORY_MB: f64 = 192.0;
+/// The minimum of `limits.memory_mb`, in megabytes: the program itself needs a third of it.
+const MIN_MEMORY_MB: f64 = 16.0;
 /// The default of `membership.forget_s`, in seconds.
 const DEFAULT_FORGET_S: u64 = 600;
 /// The default of `membership.members_most`, per peer.
@@ -39,6 +43,8 @@
     pub seed: u64,
     /// The maximum number of open descriptors of the process.
     pub sockets: usize,
+    /// The memory that the process may use, in megabytes.
+    pub memory_mb: f64,
     /// The last known endpoint list in discovery's JSON format, used until discovery sends a list; empty if there is
     /// none.
     pub cached_list: String,
@@ -105,6 +111,9 @@
     /// The limit of descriptors is too low to serve clients.
     #[error("limits.sockets must be at least {MIN_SOCKETS}, got {0}")]
     TooFewSockets(usize),
+    /// The limit of memory is too low to serve clients.
+    #[error("limits.memory_mb must be at least {MIN_MEMORY_MB}, got {0}")]
+    TooLittleMemory(f64),
     /// The configuration of the membership is invalid.
     #[error("membership: {0}")]
     Membership(#[from] MembershipConfigError),
@@ -184,12 +193,14 @@
 #[serde(default)]
 struct RawLimits {
     sockets: usize,
+    memory_mb: f64,
 }
 
 impl Default for RawLimits {
     fn default() -> Self {
         Self {
             sockets: DEFAULT_SOCKETS,
+            memory_mb: DEFAULT_MEMORY_MB,
         }
     }
 }
@@ -219,11 +230,16 @@
         if raw.limits.sockets < MIN_SOCKETS {
             return Err(ConfigError::TooFewSockets(raw.limits.sockets));
         }
+        let memory_mb = raw.limits.memory_mb;
+        if memory_mb < MIN_MEMORY_MB {
+            return Err(ConfigError::TooLittleMemory(memory_mb));
+        }
         Ok(Self {
             listen: raw.listen,
             discovery: raw.discovery,
             seed,
             sockets: raw.limits.sockets,
+            memory_mb,
             cached_list: raw
                 .cached_list
                 .map_or_else(String::new, |list| list.get().to_owned()),
--- a/balancer/src/connection.rs
+++ b/balancer/src/connection.rs
@@ -1,6 +1,8 @@
 //! HTTP connections to upstreams and to discovery. Each counts the bytes that the kernel has accepted for sending.
 
 use crate::error_origin::retry_if_interrupted;
+use crate::head_memory::{HeadMemory, MAX_READ_BYTES, MAX_SHORT_HEAD_BYTES};
+use crate::memory_budget::{MemoryBudget, MemoryUse};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -12,6 +14,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -46,6 +49,7 @@
     stream: TcpStream,
     written: Rc<Cell<u64>>,
     first_byte: FirstByte,
+    head: Rc<HeadMemory>,
     _permit: S,
 }
 
@@ -64,11 +68,18 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let filled_before = buf.filled().len();
-        let poll = retry_if_interrupted(Pin::new(&mut self.stream).poll_read(cx, buf), cx);
-        if buf.filled().len() > filled_before {
-            self.first_byte.record();
+        // Reading through an array leaves the rest of the library's buffer untouched, so that it takes no memory.
+        let mut space = [0; MAX_READ_BYTES];
+        let mut read = ReadBuf::new(&mut space[..MAX_READ_BYTES.min(buf.remaining())]);
+        let poll = retry_if_interrupted(Pin::new(&mut self.stream).poll_read(cx, &mut read), cx);
+        if read.filled().is_empty() {
+            return poll;
         }
+        self.first_byte.record();
+        if !self.head.receive(read.filled().len()) {
+            return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+        }
+        buf.put_slice(read.filled());
         poll
     }
 }
@@ -110,6 +121,9 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     written: Rc<Cell<u64>>,
+    head: Rc<HeadMemory>,
+    /// Whether a long head has been sent on the connection.
+    has_sent_long_head: bool,
     peer: SocketAddr,
 }
 
@@ -124,14 +138,34 @@
         peer: SocketAddr,
         permit: S,
         first_byte: FirstByte,
+    ) -> io::Result<Self> {
+        Self::open_with(peer, permit, first_byte, &MemoryBudget::unlimited()).await
+    }
+
+    /// Opens a connection like [`Self::open`]; long heads received on it are reserved in `budget`.
+    pub async fn open_within<S: Unpin + 'static>(
+        peer: SocketAddr,
+        permit: S,
+        budget: &Arc<MemoryBudget>,
+    ) -> io::Result<Self> {
+        Self::open_with(peer, permit, FirstByte::default(), budget).await
+    }
+
+    async fn open_with<S: Unpin + 'static>(
+        peer: SocketAddr,
+        permit: S,
+        first_byte: FirstByte,
+        budget: &Arc<MemoryBudget>,
     ) -> io::Result<Self> {
         let stream = TcpStream::connect(peer).await?;
         stream.set_nodelay(true)?;
         let written = Rc::new(Cell::new(0));
+        let head = Rc::new(HeadMemory::new(budget, MemoryUse::Exchange));
         let io = TokioIo::new(CountingStream {
             stream,
             written: Rc::clone(&written),
             first_byte,
+            head: Rc::clone(&head),
             _permit: permit,
         });
         let (sender, connection) = http1::Builder::new()
@@ -145,6 +179,8 @@
             sender,
             task,
             written,
+            head,
+            has_sent_long_head: false,
             peer,
         })
     }
@@ -164,6 +200,12 @@
         self.sender.ready().await.is_ok()
     }
 
+    /// Returns whether a long head has been sent or received. The buffers of the connection have grown then, so it should
+    /// not be kept for further requests.
+    pub fn has_grown(&self) -> bool {
+        self.has_sent_long_head || self.head.is_long()
+    }
+
     /// Returns the number of bytes that the kernel has accepted for sending on this connection.
     pub fn written(&self) -> u64 {
         self.written.get()
@@ -174,7 +216,11 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> hyper::Result<Response<Incoming>> {
-        self.sender.send_request(request).await
+        self.has_sent_long_head |= head_length(&request) > MAX_SHORT_HEAD_BYTES as u64;
+        self.head.begin();
+        let response = self.sender.send_request(request).await;
+        self.head.complete();
+        response
     }
 }
 
@@ -187,6 +233,11 @@
 /// Returns the number of bytes that hyper writes for a request with a content length: request line, headers and body.
 pub fn wire_length(request: &Request<Full<Bytes>>) -> u64 {
     use hyper::body::Body;
+    head_length(request) + request.body().size_hint().exact().unwrap_or(0)
+}
+
+/// Returns the number of bytes that hyper writes for the request line and the headers of a request.
+fn head_length(request: &Request<Full<Bytes>>) -> u64 {
     let path = request
         .uri()
         .path_and_query()
@@ -196,5 +247,5 @@
     let headers: usize = headers
         .map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len())
         .sum();
-    (line + headers + "\r\n".len()) as u64 + request.body().size_hint().exact().unwrap_or(0)
+    (line + headers + "\r\n".len()) as u64
 }
--- a/balancer/src/discovery/mod.rs
+++ b/balancer/src/discovery/mod.rs
@@ -16,6 +16,7 @@
 pub use watch_progress::MAX_SILENCE;
 
 use crate::connection::{Connection, FirstByte};
+use crate::memory_budget::{MemoryBudget, MemoryUse};
 use crate::rate_limited_log::RateLimitedLog;
 use bytes::Bytes;
 use frostkeel_policy::UpdateScope;
@@ -26,6 +27,7 @@
 use hyper::{Request, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -37,6 +39,10 @@
 /// The timeout for establishing a connection to discovery.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// The number of copies of a list that is being received: its text, in a buffer that doubles as it grows, and its parsed
+/// entries.
+const LIST_COPIES: usize = 3;
+
 /// The number of a watch, unique within the process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WatchId(u64);
@@ -73,13 +79,16 @@
     /// The task that runs the current watch; `None` before the first watch.
     watch_task: RefCell<Option<AbortHandle>>,
     current_watch: Cell<WatchId>,
+    memory: Arc<MemoryBudget>,
     entry_log: RateLimitedLog,
 }
 
 impl Discovery {
-    /// Creates a client of discovery; the position of a zone or kind in `names` is its id.
-    pub fn new(address: SocketAddr, names: Names) -> Self {
+    /// Creates a client of discovery; the position of a zone or kind in `names` is its id. The lists that it receives
+    /// are reserved in `memory`.
+    pub fn new(address: SocketAddr, names: Names, memory: &Arc<MemoryBudget>) -> Self {
         Self {
+            memory: Arc::clone(memory),
             address: Cell::new(address),
             reader: EndpointListReader::new(names),
             revision: Cell::new(0),
@@ -210,9 +219,12 @@
         let mut progress = WatchProgress::new(Instant::now());
         let mut lines = WatchLines::default();
         let mut is_first_line = true;
+        // The balancer cannot do without its list, so clients have less memory while one is received.
+        let mut reservation = self.memory.force_reserve(MemoryUse::Exchange, 0);
         while let Some(data) = next_data(&mut body, &progress, report).await? {
             progress.on_bytes();
             lines.push(&data);
+            reservation.resize(LIST_COPIES * lines.buffered_bytes());
             let (bytes, revision) = (data.len(), self.revision.get());
             tracing::debug!(watch = watch.0, bytes, revision, "watch data received");
             while self.is_current(watch) {
@@ -231,6 +243,7 @@
                 }
                 is_first_line = false;
             }
+            reservation.resize(LIST_COPIES * lines.buffered_bytes());
             if lines.has_partial_list() && progress.on_partial_line() {
                 report(DiscoveryEvent::Partial(progress.last_byte_at()));
             }
--- a/balancer/src/discovery/watch_lines.rs
+++ b/balancer/src/discovery/watch_lines.rs
@@ -45,6 +45,11 @@
         self.has_content || self.complete_text_lines > 0
     }
 
+    /// Returns the number of received bytes that do not belong to a complete line yet.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Adds received data.
     pub fn push(&mut self, data: &[u8]) {
         self.buffer.extend_from_slice(data);
--- a/balancer/src/event_loop/mod.rs
+++ b/balancer/src/event_loop/mod.rs
@@ -120,6 +120,11 @@
         self.force_close.send_replace(true);
     }
 
+    /// Closes up to `count` idle connections to upstreams.
+    pub fn close_idle_connections(&self, count: usize) {
+        self.upstreams.close_oldest_idle(count);
+    }
+
     /// Aborts the watch on the endpoint list and all background tasks of the loop.
     pub fn stop(&self) {
         self.discovery.stop();
--- a/balancer/src/headers.rs
+++ b/balancer/src/headers.rs
@@ -2,8 +2,8 @@
 
 use frostkeel_policy::LoadField;
 use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
-    TRAILER, TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 
 /// The client's id of a request; a client's retry has a new id.
@@ -69,3 +69,28 @@
     }
     values.iter().any(|value| !value.is_nan()).then_some(values)
 }
+
+/// The memory of one parsed header beside its name and value: its entry in the map, which grows by doubling, and the
+/// reference counts of its name and value.
+const HEADER_OVERHEAD_BYTES: usize = 256;
+
+/// Returns the memory of parsed headers.
+pub fn memory_bytes(headers: &HeaderMap) -> usize {
+    let headers = headers.iter();
+    let bytes =
+        headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_OVERHEAD_BYTES);
+    bytes.sum()
+}
+
+/// Copies the values of headers. Parsed values are slices of the receive buffer of their connection, and keep all of it
+/// allocated.
+pub fn release_receive_buffer(headers: &mut HeaderMap) {
+    for value in headers.values_mut() {
+        let is_sensitive = value.is_sensitive();
+        // The bytes of a valid value are valid.
+        if let Ok(copy) = HeaderValue::from_bytes(value.as_bytes()) {
+            *value = copy;
+            value.set_sensitive(is_sensitive);
+        }
+    }
+}
--- a/balancer/src/in_flight.rs
+++ b/balancer/src/in_flight.rs
@@ -1,5 +1,6 @@
 //! The table of requests in flight: for each, the client's request, its attempts and its pending response.
 
+use crate::memory_budget::MemoryReservation;
 use crate::upstream::{AttemptState, ForwardedRequest, UpstreamResponse};
 use frostkeel_policy::{AttemptNo, ClassId, RequestId, TenantId, UpstreamId};
 use rustc_hash::FxHashMap;
@@ -38,6 +39,8 @@
     pub is_retry: bool,
     /// The request in the form that is forwarded to upstreams.
     pub forwarded: ForwardedRequest,
+    /// The reservation for the memory of the request, without that of its body.
+    pub(crate) _memory: MemoryReservation,
 }
 
 impl ClientRequest {
--- a/balancer/src/process.rs
+++ b/balancer/src/process.rs
@@ -5,6 +5,7 @@
 use crate::discovery::Discovery;
 use crate::event_loop::EventLoop;
 use crate::members::{Members, MembersError};
+use crate::memory_budget::MemoryBudget;
 use crate::request_counters::RequestCounters;
 use crate::upstream::Upstreams;
 use crate::{reload, shutdown};
@@ -86,8 +87,9 @@
     listener: TcpListener,
 ) -> Result<RunningBalancer, StartError> {
     let settings = &config.site.settings;
-    let upstreams = Upstreams::new(settings, config.max_upstream_connections());
-    let discovery = Discovery::new(config.discovery, config.site.names.clone());
+    let memory = MemoryBudget::for_process(config.memory_mb, config.sockets);
+    let upstreams = Upstreams::new(settings, config.max_upstream_connections(), &memory);
+    let discovery = Discovery::new(config.discovery, config.site.names.clone(), &memory);
     let cached_list = discovery.cached_list(&config.cached_list);
     tracing::info!(
         poll_interval = ?settings.poll_interval,
@@ -100,7 +102,13 @@
     let event_loop = EventLoop::start(balancer, counters, upstreams, discovery, cached_list);
     let (phase, phases) = watch::channel(Phase::Serving);
     let max_clients = config.max_client_connections();
-    let server = Server::new(Rc::clone(&event_loop), &config.site, phases, max_clients);
+    let server = Server::new(
+        Rc::clone(&event_loop),
+        &config.site,
+        phases,
+        max_clients,
+        &memory,
+    );
     let server = spawn_local(server.run(listener));
     Ok(RunningBalancer {
         event_loop,
--- a/balancer/src/upstream/attempt.rs
+++ b/balancer/src/upstream/attempt.rs
@@ -138,7 +138,8 @@
     ) -> Option<AttemptResult> {
         let connection = &mut checked_out.connection;
         let (written_before, length) = (connection.written(), wire_length(&request));
-        let exchanged = timeout_at(expires_at, exchange(connection, request)).await;
+        let exchanged = exchange(connection, request, &self.memory, expires_at);
+        let exchanged = timeout_at(expires_at, exchanged).await;
         let progress = WriteProgress {
             written: connection.written() - written_before,
             length,
--- a/balancer/src/upstream/checkout.rs
+++ b/balancer/src/upstream/checkout.rs
@@ -4,9 +4,14 @@
 use super::endpoint_state::Upstream;
 use crate::connection::Connection;
 use crate::error_origin::ErrorOrigin;
+use crate::memory_budget::{MemoryReservation, MemoryUse, UPSTREAM_CONNECTION_BYTES};
 use frostkeel_policy::Outcome;
+use std::time::Duration;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+/// The longest time for which an attempt waits for the memory of a new connection.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(100);
+
 /// A connection in use by an attempt.
 pub(super) struct CheckedOutConnection {
     pub(super) connection: Connection,
@@ -75,11 +80,17 @@
         let times_out_at = Instant::now().checked_add(self.connect_timeout);
         let deadline = times_out_at.map_or(expires_at, |at| at.min(expires_at));
         // A permit that is not available in time is due to the connection limit, not to a fault of the upstream.
-        let permit = self.connection_limit.acquire(|| self.close_any_idle());
+        let permit = self.connection_limit.acquire(|| {
+            self.close_any_idle();
+        });
         let Ok(permit) = timeout_at(deadline, permit).await else {
             return Err(Outcome::NotSent);
         };
-        match timeout_at(deadline, Connection::open(address, permit)).await {
+        let Some(reservation) = self.reserve_connection(deadline).await else {
+            return Err(Outcome::NotSent);
+        };
+        let opened = Connection::open_within(address, (permit, reservation), &self.memory);
+        match timeout_at(deadline, opened).await {
             Ok(Ok(connection)) => Ok(connection),
             Ok(Err(error)) => {
                 let origin = ErrorOrigin::of(&error);
@@ -94,12 +105,20 @@
         }
     }
 
-    /// Closes one idle connection to any upstream, if there is one.
-    fn close_any_idle(&self) {
+    /// Closes one idle connection to any upstream; `false` if there is none.
+    pub(super) fn close_any_idle(&self) -> bool {
         let upstreams = self.upstreams.borrow();
         upstreams
             .values()
-            .find_map(|upstream| upstream.idle.pop_oldest());
+            .any(|upstream| upstream.idle.pop_oldest().is_some())
+    }
+
+    /// Reserves the memory of a new connection, which may take until `deadline`. Idle connections are closed for it.
+    async fn reserve_connection(&self, deadline: Instant) -> Option<MemoryReservation> {
+        let (memory_use, bytes) = (MemoryUse::Exchange, UPSTREAM_CONNECTION_BYTES);
+        while self.memory.try_reserve(memory_use, bytes).is_none() && self.close_any_idle() {}
+        let until = deadline.min(Instant::now() + MAX_MEMORY_WAIT);
+        self.memory.reserve(memory_use, bytes, until).await
     }
 }
 
--- a/balancer/src/upstream/endpoint_state.rs
+++ b/balancer/src/upstream/endpoint_state.rs
@@ -85,7 +85,8 @@
             ..
         } = checked_out;
         let same_process = self.boot_ms() == boot_ms && self.address() == Some(connection.peer());
-        if self.is_ready() && same_process && !connection.is_closed() {
+        let is_reusable = !connection.is_closed() && !connection.has_grown();
+        if self.is_ready() && same_process && is_reusable {
             self.idle.add(connection);
         }
     }
--- a/balancer/src/upstream/exchange.rs
+++ b/balancer/src/upstream/exchange.rs
@@ -1,13 +1,16 @@
 //! Exchanges: one request and its response on an upstream connection.
 
 use crate::connection::Connection;
-use crate::headers::TIME_LEFT;
+use crate::headers::{self, TIME_LEFT};
+use crate::memory_budget::{MemoryBudget, MemoryUse};
 use bytes::Bytes;
-use frostkeel_message_body::{BodyError, read_complete};
+use frostkeel_message_body::{BodyError, ReservedBodyError, read_reserved};
 use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// The maximum length of a response body.
 const MAX_BODY_BYTES: usize = 64 * 1024;
@@ -56,6 +59,9 @@
     /// The response body exceeds the limit for forwarded bodies.
     #[error("response body must have at most {MAX_BODY_BYTES} bytes")]
     BodyTooLong,
+    /// No memory for the response body was available in time.
+    #[error("no memory for the response body")]
+    NoMemory,
 }
 
 impl ExchangeError {
@@ -65,19 +71,25 @@
     }
 }
 
-impl From<BodyError<hyper::Error>> for ExchangeError {
-    fn from(error: BodyError<hyper::Error>) -> Self {
+impl From<ReservedBodyError<hyper::Error, NoMemory>> for ExchangeError {
+    fn from(error: ReservedBodyError<hyper::Error, NoMemory>) -> Self {
         match error {
-            BodyError::TooLong { .. } => Self::BodyTooLong,
-            BodyError::Invalid(error) => Self::InvalidBody(error),
+            ReservedBodyError::Body(BodyError::TooLong { .. }) => Self::BodyTooLong,
+            ReservedBodyError::Body(BodyError::Invalid(error)) => Self::InvalidBody(error),
+            ReservedBodyError::NotReserved(NoMemory) => Self::NoMemory,
         }
     }
 }
 
-/// Sends a request on a connection and reads the complete response.
+/// The memory budget was spent for too long.
+struct NoMemory;
+
+/// Sends a request on a connection and reads the complete response by `expires_at`. Its memory is reserved in `memory`.
 pub async fn exchange(
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
+    memory: &Arc<MemoryBudget>,
+    expires_at: Instant,
 ) -> Result<Response<Bytes>, ExchangeError> {
     let response = connection.send(request).await.map_err(|error| {
         if error.is_parse() {
@@ -86,7 +98,12 @@
             ExchangeError::ConnectionEnded(error)
         }
     })?;
-    let (parts, body) = response.into_parts();
-    let body = read_complete(body, MAX_BODY_BYTES).await?;
+    let (mut parts, body) = response.into_parts();
+    headers::release_receive_buffer(&mut parts.headers);
+    let reserve = async |bytes| {
+        let reserved = memory.reserve(MemoryUse::Exchange, bytes, expires_at);
+        reserved.await.ok_or(NoMemory)
+    };
+    let body = read_reserved(body, MAX_BODY_BYTES, reserve).await?;
     Ok(Response::from_parts(parts, body))
 }
--- a/balancer/src/upstream/mod.rs
+++ b/balancer/src/upstream/mod.rs
@@ -12,6 +12,7 @@
 pub use exchange::ForwardedRequest;
 
 use crate::connection_limit::ConnectionLimit;
+use crate::memory_budget::MemoryBudget;
 use crate::rate_limited_log::RateLimitedLog;
 use endpoint_state::Upstream;
 use frostkeel_policy::{Availability, LoadField, LoadReports, Settings, UpstreamId};
@@ -19,6 +20,7 @@
 use std::cell::RefCell;
 use std::ops::Range;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -33,6 +35,7 @@
 pub struct Upstreams {
     upstreams: RefCell<FxHashMap<UpstreamId, Rc<Upstream>>>,
     connection_limit: Rc<ConnectionLimit>,
+    memory: Arc<MemoryBudget>,
     connect_timeout: Duration,
     /// The time after which an idle connection has expired.
     max_idle: Duration,
@@ -47,11 +50,13 @@
 }
 
 impl Upstreams {
-    /// Creates an empty set of upstreams, with a limit of `max_connections` open connections in total.
-    pub fn new(settings: &Settings, max_connections: usize) -> Self {
+    /// Creates an empty set of upstreams, with a limit of `max_connections` open connections in total. The memory of
+    /// connections and responses is reserved in `memory`.
+    pub fn new(settings: &Settings, max_connections: usize, memory: &Arc<MemoryBudget>) -> Self {
         Self {
             upstreams: RefCell::default(),
             connection_limit: ConnectionLimit::new(max_connections),
+            memory: Arc::clone(memory),
             connect_timeout: settings.connect_timeout,
             max_idle: settings.connection_idle_timeout.mul_f64(MAX_IDLE_FRACTION),
             load_reports: settings.load_reports,
@@ -108,6 +113,15 @@
         }
     }
 
+    /// Closes up to `count` idle connections, each the one of its upstream that has been idle for the longest.
+    pub fn close_oldest_idle(&self, count: usize) {
+        for _ in 0..count {
+            if !self.close_any_idle() {
+                return;
+            }
+        }
+    }
+
     /// Closes expired idle connections at regular intervals; never returns.
     pub async fn close_expired_periodically(&self) {
         loop {
--- a/balancer/tests/common/client.rs
+++ b/balancer/tests/common/client.rs
@@ -2,7 +2,7 @@
 
 use super::{Message, TIMEOUT};
 use socket2::{Domain, SockRef, Socket, Type};
-use std::io::{BufReader, ErrorKind, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -102,6 +102,12 @@
         !read.is_err_and(|error| timed_out(error.kind()))
     }
 
+    /// Returns whether the balancer sends something or closes the connection within [`TIMEOUT`].
+    pub fn is_closed_or_responds(&mut self) -> bool {
+        let has_responded = self.reader.fill_buf().is_ok_and(|bytes| !bytes.is_empty());
+        has_responded || self.is_closed()
+    }
+
     /// Returns whether the connection ends normally, without further data.
     pub fn is_closed_without_data(&mut self) -> bool {
         let mut rest = Vec::new();
--- a/balancer/tests/common/config.rs
+++ b/balancer/tests/common/config.rs
@@ -12,6 +12,8 @@
     pub cached_list: String,
     /// The number of descriptors that the balancer may use, reserved ones included.
     pub max_sockets: usize,
+    /// The memory that the balancer may use, in megabytes.
+    pub memory_mb: u64,
     /// The number of balancers in the fleet.
     pub balancers: usize,
     /// The deadline and the latency objective of every class, in milliseconds.
@@ -40,6 +42,7 @@
             discovery: unreachable_address(),
             cached_list: endpoint_list_json(1, true, &entries.collect::<Vec<_>>()),
             max_sockets: 256,
+            memory_mb: 192,
             balancers: 1,
             deadline_and_objective_ms: 8000,
             watches_discovery_directly: false,
@@ -55,6 +58,7 @@
             discovery,
             cached_list,
             max_sockets,
+            memory_mb,
             balancers,
             cancellation,
             slow_start_ms,
@@ -72,7 +76,7 @@
         ];
         format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{max_sockets}}},"known":{cached_list},
+            "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{max_sockets}}},"known":{cached_list},
             "settings":{{"balancers":{balancers},"me":0,"classes":[{}],"discovery":"{discovery_mode}",
             "guarantees":{{"cold_ms":{slow_start_ms}}},"failure_domains":["a","b"],"skus":["m"],"locality":0,
             "limits":{{"conn_idle_ms":60000,"connect_timeout_ms":2000,"try_limit":5,"retry_after":false,
--- a/balancer/tests/common/in_process_server.rs
+++ b/balancer/tests/common/in_process_server.rs
@@ -4,6 +4,7 @@
 use frostkeel_balancer::client::{Phase, Server};
 use frostkeel_balancer::discovery::{Discovery, EndpointEntry, EndpointUpdate};
 use frostkeel_balancer::event_loop::EventLoop;
+use frostkeel_balancer::memory_budget::MemoryBudget;
 use frostkeel_balancer::request_counters::RequestCounters;
 use frostkeel_balancer::upstream::{EndpointState, Upstreams};
 use frostkeel_policy::{
@@ -13,6 +14,7 @@
 use frostkeel_settings::{Names, Site};
 use socket2::Socket;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -76,13 +78,18 @@
     /// Starts a server with small send buffers, which serves at most `max_clients` connections at
     /// a time.
     pub async fn start(max_clients: usize) -> Self {
+        Self::start_with_memory(max_clients, &MemoryBudget::unlimited()).await
+    }
+
+    /// Starts a server like [`Self::start`], with this budget.
+    pub async fn start_with_memory(max_clients: usize, memory: &Arc<MemoryBudget>) -> Self {
         let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let site = site();
         let event_loop = EventLoop::start(
             Balancer::new(site.settings.clone(), 7).unwrap(),
             RequestCounters::new(&site),
-            Upstreams::new(&site.settings, MAX_CONNECTIONS),
-            Discovery::new(unreachable_address(), site.names.clone()),
+            Upstreams::new(&site.settings, MAX_CONNECTIONS, memory),
+            Discovery::new(unreachable_address(), site.names.clone(), memory),
             cached_list(upstream.local_addr().unwrap()),
         );
         // Accepted connections inherit the buffer size from the listener.
@@ -91,7 +98,7 @@
         let listener = into_tokio_listener(raw_listener(configure, MAX_CONNECTIONS as i32));
         let address = listener.local_addr().unwrap();
         let (phase, phases) = watch::channel(Phase::Serving);
-        let server = Server::new(event_loop, &site, phases, max_clients);
+        let server = Server::new(event_loop, &site, phases, max_clients, memory);
         spawn_local(server.run(listener));
         Self {
             address,
--- a/balancer/tests/common/upstream.rs
+++ b/balancer/tests/common/upstream.rs
@@ -6,12 +6,15 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// The behavior of an upstream, the same for every request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Behavior {
     /// Sends this response and keeps the connection open.
     Respond(&'static str),
+    /// Sends this response after some time, and keeps the connection open.
+    RespondAfter(Duration, &'static str),
     /// Sends this response, then closes the connection without a `Connection: close` header.
     RespondAndClose(&'static str),
     /// Closes the connection without a response.
@@ -82,14 +85,18 @@
     let mut reader = BufReader::new(stream.try_clone().unwrap());
     while let Some(message) = Message::read(&mut reader) {
         record.requests.lock().unwrap().push(message);
+        if let Behavior::RespondAfter(time, _) = behavior {
+            std::thread::sleep(time);
+        }
         match behavior {
-            Behavior::Respond(text) if stream.write_all(text.as_bytes()).is_ok() => {}
+            Behavior::Respond(text) | Behavior::RespondAfter(_, text)
+                if stream.write_all(text.as_bytes()).is_ok() => {}
             Behavior::RespondAndClose(text) => {
                 let _ = stream.write_all(text.as_bytes());
                 break;
             }
             Behavior::NeverRespond => {}
-            Behavior::Close | Behavior::Respond(_) => break,
+            Behavior::Close | Behavior::Respond(_) | Behavior::RespondAfter(..) => break,
         }
     }
     let _ = stream.shutdown(Shutdown::Both);
--- a/balancer/tests/common/upstream_pool.rs
+++ b/balancer/tests/common/upstream_pool.rs
@@ -2,6 +2,7 @@
 
 use super::{EMPTY_RESPONSE, TIMEOUT};
 use bytes::Bytes;
+use frostkeel_balancer::memory_budget::MemoryBudget;
 use frostkeel_balancer::upstream::{AttemptResult, EndpointState, ForwardedRequest, Upstreams};
 use frostkeel_policy::{Availability, Settings, UpstreamId};
 use hyper::header::HeaderMap;
@@ -84,7 +85,11 @@
         listener: TcpListener,
         max_connections: usize,
     ) -> Self {
-        let upstreams = Rc::new(Upstreams::new(settings, max_connections));
+        let upstreams = Rc::new(Upstreams::new(
+            settings,
+            max_connections,
+            &MemoryBudget::unlimited(),
+        ));
         let endpoint = ready_endpoint(listener.local_addr().unwrap());
         upstreams.apply_endpoint(UPSTREAM, &endpoint);
         Self {
--- a/balancer/tests/config.rs
+++ b/balancer/tests/config.rs
@@ -18,6 +18,15 @@
     assert!(config.cached_list.contains("targets"));
 }
 
+/// The budget of what peers can make the balancer hold follows from the limit of memory.
+#[test]
+fn memory_limit_is_read_and_one_that_is_too_low_is_rejected() {
+    assert_eq!(Config::parse(VALID).unwrap().memory_mb, 192.0);
+    let too_low = VALID.replace(r#""memory_mb": 192"#, r#""memory_mb": 8"#);
+    let error = Config::parse(&too_low).unwrap_err().to_string();
+    assert_eq!(error, "limits.memory_mb must be at least 16, got 8");
+}
+
 #[test]
 fn membership_is_off_by_default_and_invalid_membership_is_rejected() {
     assert!(Config::parse(VALID).unwrap().membership.is_none());
--- a/balancer/tests/endpoint_watch.rs
+++ b/balancer/tests/endpoint_watch.rs
@@ -10,6 +10,7 @@
     send_chunked_line, unreachable_address, wait_until,
 };
 use frostkeel_balancer::discovery::{Discovery as DiscoveryClient, DiscoveryEvent};
+use frostkeel_balancer::memory_budget::MemoryBudget;
 use frostkeel_policy::UpdateScope;
 use frostkeel_settings::Names;
 use std::cell::RefCell;
@@ -274,7 +275,11 @@
 #[tokio::test(flavor = "local")]
 async fn replaced_watch_reports_no_events() {
     let discovery = Discovery::start();
-    let client = Rc::new(DiscoveryClient::new(discovery.address, Names::default()));
+    let client = Rc::new(DiscoveryClient::new(
+        discovery.address,
+        Names::default(),
+        &MemoryBudget::unlimited(),
+    ));
     // Whether each reported update is a snapshot or a delta.
     let reported_scopes = Rc::new(RefCell::new(Vec::new()));
     let watch_id = client.begin_watch();
--- a/balancer/tests/races_upstream_connections.rs
+++ b/balancer/tests/races_upstream_connections.rs
@@ -8,6 +8,7 @@
     UPSTREAM, attempt, idempotent_request, into_tokio_listener, raw_listener, read_request,
     ready_endpoint,
 };
+use frostkeel_balancer::memory_budget::MemoryBudget;
 use frostkeel_balancer::upstream::Upstreams;
 use frostkeel_policy::{Outcome, Settings};
 use socket2::SockRef;
@@ -167,7 +168,7 @@
         connect_timeout: Duration::from_millis(200),
         ..Settings::default()
     };
-    let upstreams = Upstreams::new(&settings, 8);
+    let upstreams = Upstreams::new(&settings, 8, &MemoryBudget::unlimited());
     upstreams.apply_endpoint(UPSTREAM, &ready_endpoint(address));
     let result = attempt(&upstreams, UPSTREAM, 1, Duration::from_millis(50)).await;
     assert_eq!(
--- a/balancer/tests/wire_fixtures/outgoing_calls.rs
+++ b/balancer/tests/wire_fixtures/outgoing_calls.rs
@@ -3,6 +3,7 @@
 use crate::common::{RawPeer, TestConfig, endpoint_json, endpoint_list_json, send_chunked_line};
 use crate::peers::{RESPONSE_WITH_LENGTH, Recorder, read_raw};
 use crate::transcript::Transcript;
+use frostkeel_balancer::memory_budget::MemoryBudget;
 use frostkeel_balancer::upstream::{EndpointState, Upstreams};
 use frostkeel_policy::{Availability, LoadReports, Settings, UpstreamId};
 use std::io::{BufReader, Write};
@@ -44,7 +45,7 @@
         load_reports,
         ..Settings::default()
     };
-    let upstreams = Upstreams::new(&settings, MAX_CONNECTIONS);
+    let upstreams = Upstreams::new(&settings, MAX_CONNECTIONS, &MemoryBudget::unlimited());
     let id = UpstreamId(7);
     upstreams.apply_endpoint(
         id,
