Limit request heads at the registry and the membership page to 32 and 8 KiB

The registry's HTTP servers and the membership page read heads of up to 408 KB, the default of the HTTP library, and the registry does so on up to 2,048 connections to each interface. Clients that never complete a head could so make it hold hundreds of megabytes for 5 s.

The buffers have a limit now. body_memory::heads_over_the_limit_are_rejected_before_they_are_complete failed before (a head of 300 KB was read and closed after 5 s without a response) and passes; http_fixtures pass. The page's limit has no test of its own.

--- a/balancer/src/members/page.rs
+++ b/balancer/src/members/page.rs
@@ -23,6 +23,8 @@
 const PATH: &str = "/members";
 /// The maximum number of connections to the page that are served concurrently.
 const MAX_READERS: usize = 4;
+/// The size of a connection's buffer, which is also the maximum length of a request head.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
 /// The longest time that one connection to the page is served.
 const READER_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -84,7 +86,10 @@
         async { Ok::<_, Infallible>(response) }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
-    builder.timer(TokioTimer::new()).keep_alive(false);
+    builder
+        .timer(TokioTimer::new())
+        .max_buf_size(MAX_HEAD_BYTES)
+        .keep_alive(false);
     builder
         .serve_connection(TokioIo::new(stream), service)
         .await
--- a/registry/src/http/connection.rs
+++ b/registry/src/http/connection.rs
@@ -19,6 +19,9 @@
 pub(super) const MAX_CONNECTIONS: usize = 2048;
 /// The timeout for a client to send the head of a request, and separately its body.
 pub(super) const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+/// The size of a connection's buffer, which is also the maximum length of a request head. It limits
+/// the memory that the clients on all connections can make the service hold.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// The maximum duration of a connection that is not a watch.
 const CONNECTION_TIMEOUT: Duration = Duration::from_secs(30);
 /// The delay before the next attempt after a failure to accept a connection.
@@ -104,6 +107,7 @@
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
+        .max_buf_size(MAX_HEAD_BYTES)
         .header_read_timeout(REQUEST_TIMEOUT);
     tokio::select! {
         // An error is ignored: a client that disconnects, or does not send HTTP, cannot receive a
--- a/registry/tests/body_memory.rs
+++ b/registry/tests/body_memory.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::time::Duration;
 use support::{TestService, connect};
@@ -67,3 +67,35 @@
         "{used_kb} kB"
     );
 }
+
+/// The length of a head that no client of the registry needs.
+const LONG_HEAD_BYTES: usize = 300 * 1024;
+/// The longest head that the registry reads.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
+/// Guards against heads that are limited only by the default of the HTTP library, so that clients
+/// that send long heads and never complete them exhaust the memory of the registry.
+#[test]
+fn heads_over_the_limit_are_rejected_before_they_are_complete() {
+    let folder = std::env::temp_dir().join(format!("frostkeel-heads-{}", std::process::id()));
+    let service = TestService::start(&folder, "");
+    for address in [service.read, service.write] {
+        let mut stream = connect(address);
+        let head = format!("GET /status HTTP/1.1\r\nx: {}", "y".repeat(LONG_HEAD_BYTES));
+        // The service may close the connection before it has received all of it.
+        let _ = stream.write_all(head.as_bytes());
+        let mut response = [0; 64];
+        let response = match stream.read(&mut response) {
+            Ok(length) => String::from_utf8_lossy(&response[..length]).into_owned(),
+            // The close of a connection with unread bytes may discard the response.
+            Err(error) if error.kind() == ErrorKind::ConnectionReset => continue,
+            Err(error) => panic!("a head of over {MAX_HEAD_BYTES} bytes: {error}"),
+        };
+        assert!(
+            response.starts_with("HTTP/1.1 431"),
+            "a head of over {MAX_HEAD_BYTES} bytes gets {response:?}"
+        );
+    }
+    drop(service);
+    std::fs::remove_dir_all(&folder).expect("the folder of the service");
+}
