Let only a discovery that cannot be connected to count as down

Cause: on_watch_event in src/policy/endpoint_lease.rs took a rejection 0.5 s or more after the call, and report_call a connection closed without a response, for an outage, and record_outage ended the causes of staleness.

Change: only a failed connect is an outage. A call that reached discovery and failed keeps the list stale since it was last current; an ended watch then counts by the 6 s of failed calls, not by its 2 s, as before.

--- a/balancer/src/discovery/error.rs
+++ b/balancer/src/discovery/error.rs
@@ -49,13 +49,13 @@
 }
 
 impl DiscoveryError {
-    /// Returns whether a call without a response means that discovery is unreachable. This is not the case if the cause
-    /// is a local fault, or if discovery accepted the connection but did not respond before the timeout.
+    /// Returns whether the call did not reach discovery, because no connection was established. This is not the case if
+    /// the cause is a local fault.
     pub(super) fn is_unreachable(&self) -> bool {
         match self {
-            Self::Unresponsive(_) => false,
+            Self::ConnectTimeout(_) => true,
             Self::Connect(error) => ErrorOrigin::of(error) == ErrorOrigin::Peer,
-            _ => true,
+            _ => false,
         }
     }
 }
--- a/balancer/src/discovery/mod.rs
+++ b/balancer/src/discovery/mod.rs
@@ -58,9 +58,9 @@
     Ended,
     /// Part of a response or of a line has been received; its first byte was received at this time.
     Partial(Instant),
-    /// Discovery rejected the call that was made at this time.
+    /// Discovery rejected the call that was made at this time, or closed its connection without a response.
     Rejected(Instant),
-    /// The call that was made at this time did not reach discovery, or its connection closed without a response.
+    /// The call that was made at this time did not reach discovery.
     Unreachable(Instant),
 }
 
@@ -324,6 +324,7 @@
         (Some(error), None) if error.is_unreachable() => {
             report(DiscoveryEvent::Unreachable(requested_at))
         }
+        (Some(DiscoveryError::Http(_)), None) => report(DiscoveryEvent::Rejected(requested_at)),
         _ => {}
     }
 }
--- a/balancer/tests/endpoint_lease.rs
+++ b/balancer/tests/endpoint_lease.rs
@@ -25,6 +25,9 @@
 /// The time from the close of a watch until the balancer counts as notified of the changes that it
 /// missed: the time that the poll for another watch takes.
 const NOTIFICATION_DELAY_AFTER_CLOSE: Duration = Duration::from_secs(2);
+/// The time from the close of a watch until the balancer counts as notified of the changes that it
+/// missed, if the poll for another watch fails after a wait in the queue of discovery.
+const NOTIFICATION_DELAY_AFTER_FAILED_POLLS: Duration = Duration::from_secs(6);
 /// The time for which requests may still be sent to a draining upstream after the balancer was
 /// notified, or counts as notified, that it is draining.
 const DRAIN_GRACE: Duration = Duration::from_secs(1);
@@ -49,6 +52,8 @@
     Rejected,
     /// The poll is rejected after [`MAX_QUEUE_TIME`].
     RejectedLate,
+    /// The connection of the poll is closed after [`MAX_QUEUE_TIME`], without a response.
+    ClosedLate,
     /// Only the head of the response is sent.
     HeadOnly,
     /// Half of the list is sent.
@@ -83,16 +88,18 @@
             let half = &snapshot[..snapshot.len() / 2];
             format!("{CHUNKED_HEAD}{:x}\r\n{half}", snapshot.len())
         }
-        PollFailure::Unanswered | PollFailure::Rejected | PollFailure::RejectedLate => {
-            String::new()
-        }
+        PollFailure::Unanswered
+        | PollFailure::Rejected
+        | PollFailure::RejectedLate
+        | PollFailure::ClosedLate => String::new(),
     }
 }
 
-fn reject_after(delay: Duration, mut poll: TcpStream) {
+/// Sends `response` after a delay, and then closes the connection.
+fn respond_after(delay: Duration, mut poll: TcpStream, response: &'static str) {
     std::thread::spawn(move || {
         std::thread::sleep(delay);
-        let _ = poll.write_all(REJECTION.as_bytes());
+        let _ = poll.write_all(response.as_bytes());
     });
 }
 
@@ -109,8 +116,9 @@
     let mut first_written_at = None;
     while let Ok(mut poll) = polls.recv_timeout(end.saturating_duration_since(Instant::now())) {
         match failure {
-            PollFailure::Rejected => reject_after(Duration::ZERO, poll),
-            PollFailure::RejectedLate => reject_after(MAX_QUEUE_TIME, poll),
+            PollFailure::Rejected => respond_after(Duration::ZERO, poll, REJECTION),
+            PollFailure::RejectedLate => respond_after(MAX_QUEUE_TIME, poll, REJECTION),
+            PollFailure::ClosedLate => respond_after(MAX_QUEUE_TIME, poll, ""),
             _ => {
                 if !response.is_empty() && poll.write_all(response.as_bytes()).is_ok() {
                     first_written_at.get_or_insert_with(Instant::now);
@@ -159,12 +167,15 @@
     let response = snapshot_response(&snapshot);
     balancer.poll.write_all(response.as_bytes()).unwrap();
     let failed_at = Instant::now();
-    let notification_delay = match watch_failure {
-        WatchFailure::Silent => NOTIFICATION_DELAY_AFTER_SILENCE,
-        WatchFailure::Closed => {
-            balancer.poll.shutdown(Shutdown::Both).unwrap();
-            NOTIFICATION_DELAY_AFTER_CLOSE
+    if watch_failure == WatchFailure::Closed {
+        balancer.poll.shutdown(Shutdown::Both).unwrap();
+    }
+    let notification_delay = match (watch_failure, poll_failure) {
+        (WatchFailure::Silent, _) => NOTIFICATION_DELAY_AFTER_SILENCE,
+        (WatchFailure::Closed, PollFailure::RejectedLate | PollFailure::ClosedLate) => {
+            NOTIFICATION_DELAY_AFTER_FAILED_POLLS
         }
+        (WatchFailure::Closed, _) => NOTIFICATION_DELAY_AFTER_CLOSE,
     };
     let latest_expiry = failed_at + notification_delay + DRAIN_GRACE;
     let end = latest_expiry + OBSERVATION_TIME;
@@ -234,6 +245,14 @@
     check_all(WatchFailure::Closed, &poll_failures);
 }
 
+/// Guards against an overloaded discovery that counts as down. Discovery closes the watch without an
+/// update. Then polls for another watch wait in its queue, and fail.
+#[test]
+fn stops_sending_after_a_closed_watch_if_polls_fail_in_the_queue_of_discovery() {
+    let poll_failures = [PollFailure::RejectedLate, PollFailure::ClosedLate];
+    check_all(WatchFailure::Closed, &poll_failures);
+}
+
 /// While discovery is down, it cannot notify any balancer of a change. The lease must therefore not
 /// end.
 #[test]
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -199,12 +199,12 @@
         /// When the first part of the list was received.
         since: Duration,
     },
-    /// Discovery rejected a poll.
+    /// Discovery rejected a poll, or closed its connection without a response.
     Rejected {
         /// The time at which the poll was sent.
         requested_at: Duration,
     },
-    /// A poll could not connect to discovery, or its connection closed without a response.
+    /// A poll could not connect to discovery.
     Unreachable {
         /// The time at which the poll was sent.
         requested_at: Duration,
--- a/src/policy/endpoint_lease.rs
+++ b/src/policy/endpoint_lease.rs
@@ -11,9 +11,10 @@
 //! heartbeat confirms the list, for at most [`MAX_PAUSE_S`].
 //!
 //! While discovery is down, it notifies no balancer of a change, so no drain grace begins.
-//! Discovery counts as down if a poll can't connect, if the connection of a poll closes without a
-//! response, or if a poll is rejected [`IMMEDIATE_REJECTION_S`] or more after it was sent. An
-//! outage ends the causes of staleness that [`ends_with_outage`] accepts; the other causes remain.
+//! Discovery counts as down only if a poll can't connect. An outage ends the causes of staleness
+//! that [`ends_with_outage`] accepts; the other causes remain. A poll that has reached discovery
+//! and failed, at once or after a wait in its queue, does not show that discovery is down: an
+//! overloaded one fails polls in the same way, and goes on notifying others.
 
 use crate::interface::{LogEvent, SendPause, StalenessCause, WatchEvent};
 use std::time::Duration;
@@ -28,9 +29,9 @@
 /// Seconds subtracted from the drain grace: for a pause between reading the clock and writing an
 /// attempt, and for the network.
 const SAFETY_MARGIN_S: f64 = 0.2;
-/// Seconds after the send of a poll within which its rejection counts as immediate: discovery is
-/// running and overloaded. A later rejection is handled like a poll that can't connect: discovery
-/// counts as down.
+/// Seconds after the send of a poll within which its rejection counts as immediate. A later one
+/// ends a poll that has waited: what the ended watch missed then counts as notified only after the
+/// time for failed polls.
 const IMMEDIATE_REJECTION_S: f64 = 0.5;
 /// Longest pause of sends, in seconds. If the list is not confirmed within this time, the balancer
 /// sends again, although the list may be stale.
@@ -115,12 +116,14 @@
                 self.last_current_at_s = now_s;
                 self.add_cause(StalenessCause::WatchEnded, now_s);
             }
-            WatchEvent::Rejected { requested_at }
-                if now_s - requested_at.as_secs_f64() < IMMEDIATE_REJECTION_S =>
-            {
+            WatchEvent::Rejected { requested_at } => {
+                let waited_s = now_s - requested_at.as_secs_f64();
+                if waited_s >= IMMEDIATE_REJECTION_S {
+                    self.remove_cause(StalenessCause::WatchEnded);
+                }
                 self.add_cause(StalenessCause::PollsRejected, self.last_current_at_s);
             }
-            WatchEvent::Rejected { requested_at } | WatchEvent::Unreachable { requested_at } => {
+            WatchEvent::Unreachable { requested_at } => {
                 self.record_outage(requested_at.as_secs_f64());
             }
             WatchEvent::Moved => self.add_cause(StalenessCause::DiscoveryMoved, now_s),
@@ -152,7 +155,7 @@
         self.has_cause(StalenessCause::PartialResponse)
     }
 
-    /// Returns whether discovery rejects polls immediately.
+    /// Returns whether discovery rejects polls.
     pub(super) fn polls_are_rejected(&self) -> bool {
         self.has_cause(StalenessCause::PollsRejected)
     }
@@ -173,6 +176,10 @@
         self.stale_since_s[cause as usize].get_or_insert(since_s);
     }
 
+    fn remove_cause(&mut self, cause: StalenessCause) {
+        self.stale_since_s[cause as usize] = None;
+    }
+
     fn has_cause(&self, cause: StalenessCause) -> bool {
         self.stale_since_s[cause as usize].is_some()
     }
@@ -181,8 +188,8 @@
     /// [`ends_with_outage`] accepts.
     fn record_outage(&mut self, down_at_s: f64) {
         self.last_current_at_s = self.last_current_at_s.max(down_at_s);
-        for cause in CAUSES.iter().filter(|cause| ends_with_outage(**cause)) {
-            self.stale_since_s[*cause as usize] = None;
+        for cause in CAUSES.into_iter().filter(|cause| ends_with_outage(*cause)) {
+            self.remove_cause(cause);
         }
     }
 
--- a/src/policy/endpoint_polling.rs
+++ b/src/policy/endpoint_polling.rs
@@ -18,7 +18,7 @@
 /// Part of [`NOTIFIED_WITHIN_S`] that passes until the loss of the heartbeats of a watch is
 /// detected.
 const WATCH_SILENCE_S: f64 = 3.0;
-/// Longest backoff, in seconds, after a poll that was rejected immediately. If there are so many
+/// Longest backoff, in seconds, after a poll that was rejected. If there are so many
 /// balancers that their polls are spread over a longer time, that time is the longest backoff.
 const MAX_REJECTED_BACKOFF_S: f64 = 2.0;
 /// Shortest backoff in seconds, before jitter.
@@ -71,7 +71,7 @@
 pub(super) struct PollFailure {
     /// Whether the response to the poll was truncated.
     pub(super) was_partial: bool,
-    /// Whether discovery rejects polls immediately, as an overloaded discovery does.
+    /// Whether discovery rejects polls, as an overloaded discovery does.
     pub(super) was_rejected: bool,
 }
 
--- a/tests/endpoint_lease.rs
+++ b/tests/endpoint_lease.rs
@@ -323,22 +323,55 @@
     }
 }
 
-/// A poll that cannot connect, or is rejected only after some time, shows that discovery is down. A
-/// discovery that is down notifies no changes.
+/// A poll that cannot connect shows that discovery is down. A discovery that is down notifies no
+/// changes.
 #[test]
 fn lease_is_restored_while_discovery_is_down() {
+    let mut harness = harness(3, 0);
+    harness.handle(Event::Watch(WatchEvent::Ended));
+    harness.advance(5 * SECOND);
+    assert!(!sends(&mut harness));
     let requested_at = 2 * SECOND;
-    for event in [
-        WatchEvent::Rejected { requested_at },
-        WatchEvent::Unreachable { requested_at },
+    harness.handle(Event::Watch(WatchEvent::Unreachable { requested_at }));
+    harness.advance(60 * SECOND);
+    assert!(sends(&mut harness), "the lease must be restored");
+}
+
+/// Guards against an overloaded discovery that counts as down. A poll that is rejected after it has
+/// waited in the queue has reached discovery. What it would have brought counts as notified 6 s
+/// after the list was last current.
+#[test]
+fn lease_expires_while_polls_are_rejected_after_a_wait() {
+    for (event, expires_at) in [
+        (WatchEvent::Ended, NOTIFIED_WITHIN + DRAIN_GRACE),
+        (WatchEvent::Moved, 4 * SECOND + DRAIN_GRACE),
     ] {
         let mut harness = harness(3, 0);
-        harness.handle(Event::Watch(WatchEvent::Ended));
-        harness.advance(5 * SECOND);
-        assert!(!sends(&mut harness));
         harness.handle(Event::Watch(event));
-        harness.advance(60 * SECOND);
-        assert!(sends(&mut harness), "{event:?}: the lease must be restored");
+        harness.advance(MAX_QUEUE_TIME);
+        let rejected = |harness: &mut Harness| {
+            let requested_at = harness.now - MAX_QUEUE_TIME;
+            harness.handle(Event::Watch(WatchEvent::Rejected { requested_at }));
+            harness.fail_poll();
+        };
+        rejected(&mut harness);
+        harness.advance(expires_at - MAX_QUEUE_TIME - ms(300));
+        assert!(sends(&mut harness), "{event:?}: the lease ends too early");
+        harness.advance(ms(150));
+        assert!(!sends(&mut harness), "{event:?}: the lease must end");
+        for _ in 0..3 {
+            harness.advance(MAX_QUEUE_TIME);
+            rejected(&mut harness);
+            assert!(
+                !sends(&mut harness),
+                "{event:?}: a rejection renews the lease"
+            );
+        }
+        harness.update_endpoints(UpdateScope::Snapshot, &endpoints_without_draining());
+        assert!(
+            sends(&mut harness),
+            "{event:?}: a list must renew the lease"
+        );
     }
 }
 
