Forward a request only when all that its client has sent has been read

Seen: a client that sends 600 KB of requests on one connection and closes it has its first request forwarded after its close; the same request on a new connection runs a second time.

Cause: a disconnect is seen when the end of the stream has been read. While a response is pending the receiver reads without pausing, but the runtime's limit on consecutive reads ends a pass after 512 KB, and the attempt yields only once before it is written.

Change: before a request is submitted, the receiver must have read all that has arrived. If more arrives than is read ahead, 20 ms must pass without a byte, since the rest may still be in the client's send buffer; after 0.1 s the request is rejected with 503.

--- a/balancer/src/client/connection.rs
+++ b/balancer/src/client/connection.rs
@@ -1,16 +1,14 @@
 //! Client connections: how requests are served on them, and when they are closed.
 
 use super::Phase;
+use super::activity::Activity;
 use super::close_reason::CloseReason;
+use super::handler::RequestHandler;
 use super::receiver::ClientReceiver;
 use super::request::READ_TIMEOUT;
 use super::stream::{ClientState, ClientStream};
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -33,6 +31,10 @@
 const RESET_RISK_TIME: Duration = Duration::from_millis(500);
 /// The longest time for which a client may read nothing of its response; the connection is closed after that.
 const MAX_WRITE_STALL: Duration = Duration::from_secs(10);
+/// The time for which a client that has sent too much must send nothing until all counts as read, and the longest wait
+/// for that.
+const FLOOD_QUIET_TIME: Duration = Duration::from_millis(20);
+const MAX_FLOOD_TIME: Duration = Duration::from_millis(100);
 /// The interval between two checks of a connection whose write is blocked.
 const WRITE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// The size of a connection's buffer, which is also the maximum length of a request head.
@@ -43,32 +45,6 @@
 const NO_MEMORY_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
-/// The current activity of a connection. When a blocked write completes, the time in an idle state is set to that
-/// moment.
-#[derive(Clone, Copy)]
-enum Activity {
-    /// No request has been received on the connection since it was accepted at this time.
-    AwaitingFirst(Instant),
-    /// The body of a request has been awaited since this time.
-    AwaitingBody(Instant),
-    /// A request has been received completely, and its response is pending.
-    ResponsePending,
-    /// No request has been in progress since the last response, which ended at this time.
-    Idle(Instant),
-}
-
-/// Responds to the requests on client connections.
-pub(super) trait RequestHandler {
-    /// Responds to a request on the connection of `client`. `received_at` is the earliest time at which the client can
-    /// have sent it.
-    async fn respond(
-        &self,
-        request: Request<Incoming>,
-        received_at: Instant,
-        client: &ClientConnection,
-    ) -> Response<Full<Bytes>>;
-}
-
 /// The state of a client's connection.
 pub(super) struct ClientConnection {
     state: ClientState,
@@ -241,6 +217,25 @@
         self.state.has_disconnected()
     }
 
+    /// Waits, while a response is pending, until all that the client has sent has been read, so that its disconnect is
+    /// not hidden behind unread bytes. Returns `false` if the client goes on sending.
+    pub(super) async fn has_caught_up(&self) -> bool {
+        self.state.caught_up().await;
+        // More may still be in the send buffer of a client that has filled the receive buffer.
+        let until = Instant::now() + MAX_FLOOD_TIME;
+        while self.is_flooded() && !self.has_disconnected() {
+            let last_byte_at = self.state.last_byte_at();
+            sleep(FLOOD_QUIET_TIME).await;
+            if self.state.last_byte_at() == last_byte_at {
+                return true;
+            }
+            if Instant::now() >= until {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Returns whether received bytes have been discarded, so that no further request can be read.
     pub(super) fn is_flooded(&self) -> bool {
         self.state.is_flooded()
@@ -357,11 +352,7 @@
             sleep(WRITE_CHECK_INTERVAL).await;
         }
         let now = Instant::now();
-        self.activity.set(match self.activity.get() {
-            Activity::AwaitingFirst(_) => Activity::AwaitingFirst(now),
-            Activity::Idle(_) => Activity::Idle(now),
-            in_progress @ (Activity::AwaitingBody(_) | Activity::ResponsePending) => in_progress,
-        });
+        self.activity.set(self.activity.get().restarted_at(now));
         true
     }
 
--- a/balancer/src/client/mod.rs
+++ b/balancer/src/client/mod.rs
@@ -1,8 +1,10 @@
 //! The client side of the balancer: connections, requests and responses.
 
 mod accept;
+mod activity;
 mod close_reason;
 mod connection;
+mod handler;
 mod open_connections;
 mod receiver;
 mod request;
--- a/balancer/src/client/receiver.rs
+++ b/balancer/src/client/receiver.rs
@@ -18,6 +18,7 @@
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
+use tokio::task::coop;
 use tokio::time::{Instant, timeout};
 
 /// The maximum number of bytes that are read at a time.
@@ -73,6 +74,8 @@
             match retry_if_interrupted(Pin::new(&mut self.reader).poll_read(cx, &mut read), cx) {
                 Poll::Pending => {
                     self.has_read_all = self.shared.last_byte_at.get().is_some();
+                    // The runtime's limit on consecutive reads makes a read pending although more can be read.
+                    self.shared.set_caught_up(coop::has_budget_remaining());
                     return Poll::Pending;
                 }
                 Poll::Ready(Err(error)) => self.shared.end(Err(error.kind())),
@@ -88,6 +91,7 @@
     fn on_bytes(&mut self, bytes: &[u8]) {
         let shared = &self.shared;
         shared.last_byte_at.set(Some(Instant::now()));
+        shared.set_caught_up(false);
         if self.has_read_all {
             shared.unread_since.set(None);
         }
--- a/balancer/src/client/request.rs
+++ b/balancer/src/client/request.rs
@@ -63,6 +63,8 @@
     BodyTimeout,
     /// The client disconnected while its request was read.
     ClientDisconnected,
+    /// The client goes on sending more than is read ahead, so that its disconnect could not be detected.
+    Flooded,
     /// The request was not complete when its connection had to be closed to admit another one.
     TooManyConnections,
     /// There was no memory for the request.
@@ -77,7 +79,9 @@
             Self::WrongMethod => StatusCode::METHOD_NOT_ALLOWED,
             Self::UnknownTenant => StatusCode::FORBIDDEN,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::TooManyConnections | Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Flooded | Self::TooManyConnections | Self::NoMemory => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::MissingCorrelationId
             | Self::MissingIdempotencyKey
@@ -102,6 +106,7 @@
             Self::BodyTruncated => "the body broke off",
             Self::BodyTimeout => "the body did not come in time",
             Self::TooManyConnections => "too many connections",
+            Self::Flooded => "too much follows the request",
             Self::NoMemory => "no memory for the request",
             Self::ClientDisconnected => "the client has left",
         }
--- a/balancer/src/client/server.rs
+++ b/balancer/src/client/server.rs
@@ -1,7 +1,8 @@
 //! The server that accepts client connections and responds to their requests.
 
 use super::accept::{AcceptQueue, AcceptedConnection};
-use super::connection::{ClientConnection, RequestHandler};
+use super::connection::ClientConnection;
+use super::handler::RequestHandler;
 use super::open_connections::OpenConnections;
 use super::request::{RequestError, RequestReader};
 use super::response::{into_http_response, plain_response};
@@ -74,8 +75,8 @@
         let queue = AcceptQueue::new(listener);
         let tasks = TaskGroup::default();
         let server = Rc::clone(&self);
-        let reclaims = TaskGroup::default();
-        reclaims.spawn(async move { server.reclaim_memory_on_request().await });
+        let background_tasks = TaskGroup::default();
+        background_tasks.spawn(async move { server.reclaim_memory_on_request().await });
         let mut phase = self.phase.clone();
         loop {
             let accepted = tokio::select! {
@@ -186,9 +187,6 @@
             () = client.close_requested() => Err(RequestError::TooManyConnections),
         };
         let request = match read {
-            Ok(_) if client.has_disconnected() => {
-                return RequestError::ClientDisconnected.response();
-            }
             Ok(request) => request,
             // The rest of the body is not read, so the next request could not be found.
             Err(error @ RequestError::NoMemory) => {
@@ -198,6 +196,12 @@
             Err(error) => return error.response(),
         };
         client.mark_response_pending();
+        if !client.has_caught_up().await {
+            return RequestError::Flooded.response();
+        }
+        if client.has_disconnected() {
+            return RequestError::ClientDisconnected.response();
+        }
         into_http_response(self.event_loop.submit(request).response().await)
     }
 }
--- a/balancer/src/client/stream.rs
+++ b/balancer/src/client/stream.rs
@@ -7,6 +7,7 @@
 use crate::memory_budget::{MemoryBudget, MemoryReservation, MemoryUse};
 use bytes::{Buf, BytesMut};
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -51,6 +52,10 @@
     server_waker: RefCell<Option<Waker>>,
     /// Wakes the receiver when the buffer has space again.
     pub(super) receiver_waker: RefCell<Option<Waker>>,
+    /// Whether all bytes that have been received have been read, so that the end of the stream cannot be hidden behind them.
+    has_caught_up: Cell<bool>,
+    /// Wakes the request that waits until all received bytes have been read.
+    caught_up_waker: RefCell<Option<Waker>>,
     pub(super) mode: Cell<ReadMode>,
     /// Since when bytes of an incomplete request are available; `None` if there are none.
     pub(super) head_since: Cell<Option<Instant>>,
@@ -100,6 +105,19 @@
         self.0.head_since.set(has_bytes.then(Instant::now));
     }
 
+    /// Waits until all bytes that have been received have been read. The mode must let the receiver read on although the
+    /// HTTP server reads nothing.
+    pub(super) async fn caught_up(&self) {
+        poll_fn(|cx| {
+            if self.0.has_caught_up.get() {
+                return Poll::Ready(());
+            }
+            *self.0.caught_up_waker.borrow_mut() = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+
     /// Returns since when bytes of an incomplete request are available; `None` if there are none.
     pub(super) fn head_since(&self) -> Option<Instant> {
         self.0.head_since.get()
@@ -164,6 +182,8 @@
             ended: RefCell::default(),
             server_waker: RefCell::default(),
             receiver_waker: RefCell::default(),
+            has_caught_up: Cell::new(false),
+            caught_up_waker: RefCell::default(),
             mode: Cell::new(ReadMode::Buffering),
             head_since: Cell::new(None),
             last_byte_at: Cell::new(None),
@@ -175,6 +195,7 @@
 
     pub(super) fn end(&self, result: Result<(), io::ErrorKind>) {
         *self.ended.borrow_mut() = Some(result);
+        self.set_caught_up(true);
         self.wake_server();
     }
 
@@ -189,6 +210,14 @@
         bytes <= MAX_SMALL_BUFFER_BYTES || reservation.is_some()
     }
 
+    /// Records whether all bytes that have been received have been read.
+    pub(super) fn set_caught_up(&self, has_caught_up: bool) {
+        self.has_caught_up.set(has_caught_up);
+        if has_caught_up && let Some(waker) = self.caught_up_waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+
     fn wake_receiver(&self) {
         if let Some(waker) = self.receiver_waker.borrow_mut().take() {
             waker.wake();
--- a/balancer/tests/races_clients.rs
+++ b/balancer/tests/races_clients.rs
@@ -70,6 +70,37 @@
     }
 }
 
+/// Guards against a request that is forwarded although its client has closed the connection, because
+/// the end of the stream is hidden behind bytes that have not been read yet. The same request on
+/// another connection must be forwarded once.
+#[test]
+fn request_of_a_client_that_left_with_much_unread_is_not_forwarded() {
+    for extra_bytes in [0, 20_000, 100_000, 600_000, 900_000, 2_000_000] {
+        let upstream = Upstream::healthy();
+        let process = TestConfig::with_upstreams(&[upstream.address]).start();
+        // An idle connection to the upstream, so that an attempt is written at once.
+        assert_eq!(process.status_of(&idempotent_request(8000)), 200);
+        let request = at_most_once_request(8000, "once");
+        let pipelined = request.repeat(1 + extra_bytes / request.len());
+        for closes_after in [false, true] {
+            let mut client = process.connect();
+            if closes_after {
+                // The balancer has accepted the connection before it is suspended.
+                process.round_trip();
+            }
+            process.suspend();
+            client.write_nonblocking(pipelined.as_bytes());
+            client.disconnect();
+            process.resume();
+            process.round_trip();
+        }
+        assert_eq!(process.status_of(&request), 200);
+        let forwarded = upstream.requests();
+        let forwarded = forwarded.iter().filter(|request| request.body == b"once");
+        assert_eq!(forwarded.count(), 1, "{extra_bytes} extra bytes");
+    }
+}
+
 /// Sends an idempotent request with this correlation id.
 fn send_with_correlation_id(client: &mut Client, correlation_id: &str) {
     client.write(&idempotent_request(8000).replace(CORRELATION_ID, correlation_id));
