Answer 409 to an at-most-once request that comes again after its client left

Seen: a request that must not be executed twice is forwarded, its client leaves before the response, and the same request on another connection is forwarded again and may run twice.

Cause: nothing remembered that the first one may have been executed; the attempt was cancelled and the request forgotten.

Other classes and requests of which nothing was written are not affected.

--- a/balancer/src/client/request.rs
+++ b/balancer/src/client/request.rs
@@ -63,6 +63,8 @@
     BodyTimeout,
     /// The client disconnected while its request was read.
     ClientDisconnected,
+    /// A request that must not be executed twice was forwarded before, and its client left before the final response.
+    AlreadyForwarded,
     /// The client goes on sending more than is read ahead, so that its disconnect could not be detected.
     Flooded,
     /// The request was not complete when its connection had to be closed to admit another one.
@@ -83,6 +85,7 @@
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::AlreadyForwarded => StatusCode::CONFLICT,
             Self::MissingCorrelationId
             | Self::MissingIdempotencyKey
             | Self::UnreadableTimeLeft
@@ -106,6 +109,7 @@
             Self::BodyTruncated => "the body broke off",
             Self::BodyTimeout => "the body did not come in time",
             Self::TooManyConnections => "too many connections",
+            Self::AlreadyForwarded => "the request may have been executed before",
             Self::Flooded => "too much follows the request",
             Self::NoMemory => "no memory for the request",
             Self::ClientDisconnected => "the client has left",
@@ -164,7 +168,7 @@
     ) -> Result<ClientRequest, RequestError> {
         let (parts, body) = request.into_parts();
         let mut headers = parts.headers;
-        let class = self.class(&parts.uri, &parts.method, &headers)?;
+        let ClassRules { id: class, effect } = self.class(&parts.uri, &parts.method, &headers)?;
         let tenant = self.tenant(&headers)?;
         let time_left = time_left(&headers)?;
         let work_ms = work_hint_ms(&headers)?;
@@ -190,6 +194,7 @@
             tenant,
             deadline,
             work_ms,
+            is_at_most_once: effect == Effect::AtMostOnce,
             is_retry,
             forwarded,
             _memory: memory,
@@ -221,13 +226,13 @@
         }
     }
 
-    /// Returns the class that the path names, if the method and the headers are valid for that class.
+    /// Returns the rules of the class that the path names, if the method and the headers are valid for that class.
     fn class(
         &self,
         uri: &Uri,
         method: &Method,
         headers: &HeaderMap,
-    ) -> Result<ClassId, RequestError> {
+    ) -> Result<ClassRules, RequestError> {
         let name = uri
             .path()
             .trim_start_matches('/')
@@ -259,7 +264,7 @@
         {
             return Err(RequestError::MissingIdempotencyKey);
         }
-        Ok(class.id)
+        Ok(class)
     }
 
     /// Returns the tenant that the headers name; id 0 at a site without tenants.
--- a/balancer/src/client/server.rs
+++ b/balancer/src/client/server.rs
@@ -207,6 +207,9 @@
         if client.has_disconnected() {
             return RequestError::ClientDisconnected.response();
         }
+        if self.event_loop.may_have_been_executed(&request) {
+            return RequestError::AlreadyForwarded.response();
+        }
         into_http_response(self.event_loop.submit(request).response().await)
     }
 }
--- a/balancer/src/event_loop/mod.rs
+++ b/balancer/src/event_loop/mod.rs
@@ -13,6 +13,7 @@
 mod requests;
 mod timers;
 
+use crate::abandoned_requests::AbandonedRequests;
 use crate::clock::Clock;
 use crate::discovery::{Discovery, DiscoveryEvent, EndpointUpdate};
 use crate::in_flight::InFlightTable;
@@ -78,6 +79,7 @@
     upstreams: Upstreams,
     incarnations: RefCell<Incarnations>,
     discovery: Discovery,
+    abandoned: AbandonedRequests,
     /// Whether all attempts must be aborted, shortly before the process ends.
     force_close: watch::Sender<bool>,
     tasks: TaskGroup,
@@ -106,6 +108,7 @@
             upstreams,
             incarnations: RefCell::default(),
             discovery,
+            abandoned: AbandonedRequests::default(),
             force_close: watch::Sender::new(false),
             tasks: TaskGroup::default(),
         });
--- a/balancer/src/event_loop/requests.rs
+++ b/balancer/src/event_loop/requests.rs
@@ -1,6 +1,7 @@
 //! Requests, from their submission to their final response.
 
 use super::{EventLoop, LoopState, QueuedEvent};
+use crate::abandoned_requests::RequestDigest;
 use crate::headers::CORRELATION_ID;
 use crate::in_flight::{ClientRequest, FinalResponse};
 use crate::pending_response::PendingResponse;
@@ -19,6 +20,20 @@
         PendingResponse::new(Rc::clone(self), id, response)
     }
 
+    /// Returns whether a request that must not be executed twice was forwarded before, and its client left before the final
+    /// response.
+    pub fn may_have_been_executed(&self, request: &ClientRequest) -> bool {
+        let digest = self.at_most_once_digest(request);
+        digest.is_some_and(|digest| self.abandoned.contains(digest))
+    }
+
+    /// Returns the digest of the id of a request that must not be executed twice; `None` for other requests.
+    fn at_most_once_digest(&self, request: &ClientRequest) -> Option<RequestDigest> {
+        let id = request.forwarded.headers.get(CORRELATION_ID);
+        let id = id.filter(|_| request.is_at_most_once)?;
+        Some(self.abandoned.digest(id.as_bytes()))
+    }
+
     /// Queues the event that a client has disconnected before the final response to its request.
     pub(crate) fn client_disconnected(self: &Rc<Self>, id: RequestId) {
         self.enqueue(QueuedEvent::ClientDisconnected(id));
@@ -61,6 +76,11 @@
         };
         if in_flight.reply.take().is_some() {
             tracing::debug!(request_id = id.0, "client disconnected");
+            if in_flight.has_written_attempt()
+                && let Some(digest) = self.at_most_once_digest(&in_flight.request)
+            {
+                self.abandoned.insert(digest);
+            }
             state
                 .counters
                 .count_client_disconnected(in_flight.request.class);
--- a/balancer/src/in_flight.rs
+++ b/balancer/src/in_flight.rs
@@ -35,6 +35,8 @@
     pub deadline: Instant,
     /// The CPU time that the request is expected to take, in milliseconds; `None` if the client does not state it.
     pub work_ms: Option<f64>,
+    /// Whether the request must not be executed twice.
+    pub is_at_most_once: bool,
     /// Whether the client marked the request as a retry.
     pub is_retry: bool,
     /// The request in the form that is forwarded to upstreams.
@@ -96,6 +98,12 @@
             .map(|(k, _)| AttemptNo(k as u8))
     }
 
+    /// Returns whether an attempt that has not ended may have been written.
+    pub(crate) fn has_written_attempt(&self) -> bool {
+        let mut attempts = self.attempts.iter();
+        attempts.any(|attempt| attempt.state.get() == AttemptState::Written)
+    }
+
     /// Returns whether no client waits for the final response and every attempt has ended.
     pub(crate) fn is_complete(&self) -> bool {
         self.reply.is_none() && self.attempts.iter().all(Attempt::is_ended)
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`discovery`] watches the endpoint list. If configured, [`members`] learns which balancers of the fleet are alive.
 //! [`process`] starts and stops them.
 
+pub mod abandoned_requests;
 pub mod client;
 pub mod clock;
 pub mod config;
--- a/balancer/tests/races_clients.rs
+++ b/balancer/tests/races_clients.rs
@@ -101,6 +101,26 @@
     }
 }
 
+/// Guards against a request that must not be executed twice, and is forwarded again when it comes
+/// again after its client has left. A request with another id is forwarded.
+#[test]
+fn request_that_comes_again_after_its_client_left_is_not_executed_twice() {
+    let upstream = RawPeer::start();
+    let process = TestConfig::with_upstreams(&[upstream.address]).start();
+    let request = at_most_once_request(8000, "once");
+    let mut client = process.connect();
+    client.write(&request);
+    let attempt = upstream.next_connection_with_request();
+    client.disconnect();
+    process.round_trip();
+    drop(attempt);
+    assert_eq!(process.status_of(&request), 409);
+    assert_eq!(upstream.connections.try_iter().count(), 0);
+    let mut client = process.connect();
+    client.write(&request.replace("9b1f03aa", "9b1f03ab"));
+    assert!(read_request(&upstream.next_connection()).is_some());
+}
+
 /// Sends an idempotent request with this correlation id.
 fn send_with_correlation_id(client: &mut Client, correlation_id: &str) {
     client.write(&idempotent_request(8000).replace(CORRELATION_ID, correlation_id));
