--- a/balancer/tests/common/client.rs
+++ b/balancer/tests/common/client.rs
@@ -94,6 +94,35 @@
         self.read_response().expect("a response")
     }
 
+    /// Sends a request like [`Self::exchange`]; `None` if there is no response, also on the new
+    /// connection.
+    pub fn try_exchange(&mut self, request: &str) -> Option<Message> {
+        if self.reader.get_mut().write_all(request.as_bytes()).is_ok()
+            && let Some(response) = self.read_response()
+        {
+            return Some(response);
+        }
+        *self = Self::connect(self.address);
+        self.reader.get_mut().write_all(request.as_bytes()).ok()?;
+        self.read_response()
+    }
+
+    /// Discards the bytes that have been received.
+    pub fn discard_received(&mut self) {
+        let stream = self.reader.get_mut();
+        stream.set_nonblocking(true).unwrap();
+        while stream
+            .read(&mut [0; 16 * 1024])
+            .is_ok_and(|length| length > 0)
+        {}
+        stream.set_nonblocking(false).unwrap();
+    }
+
+    /// Closes the connection like [`Self::disconnect`], if the balancer has not closed it.
+    pub fn disconnect_if_open(&mut self) {
+        let _ = self.reader.get_ref().shutdown(Shutdown::Both);
+    }
+
     /// Returns whether the balancer has closed the connection or closes it within [`TIMEOUT`]. The
     /// caller must have read all data that was sent before.
     pub fn is_closed(&mut self) -> bool {
--- a/balancer/tests/common/process.rs
+++ b/balancer/tests/common/process.rs
@@ -107,6 +107,10 @@
         Client::connect(self.address)
     }
 
+    pub fn connect_with_small_buffer(&self) -> Client {
+        Client::connect_with_small_buffer(self.address)
+    }
+
     /// Sends a request on a new connection and returns the status of its response.
     pub fn status_of(&self, request: &str) -> u16 {
         self.connect().exchange(request).status()
