Copy headers in one block, and reserve memory at once where it is available

Each header value was copied into a block of its own, and each reservation began by registering for released memory.

Change: all values of a message are copied into one block, and a reservation that can be made is made first.

The new test fails if the copies are left out; headers, memory_budget, end_to_end and wire_fixtures pass.

--- a/balancer/src/headers.rs
+++ b/balancer/src/headers.rs
@@ -1,5 +1,6 @@
 //! The names and formats of headers, and the removal of headers that are not forwarded.
 
+use bytes::BytesMut;
 use frostkeel_policy::LoadField;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
@@ -82,15 +83,24 @@
     bytes.sum()
 }
 
-/// Copies the values of headers. Parsed values are slices of the receive buffer of their connection, and keep all of it
-/// allocated.
+/// Copies the values of headers into one block of memory. Parsed values are slices of the receive buffer of their
+/// connection, and keep all of it allocated.
 pub fn release_receive_buffer(headers: &mut HeaderMap) {
+    let length = headers.values().map(HeaderValue::len).sum();
+    let mut copy = BytesMut::with_capacity(length);
+    for value in headers.values() {
+        copy.extend_from_slice(value.as_bytes());
+    }
+    let copy = copy.freeze();
+    let mut start = 0;
     for value in headers.values_mut() {
+        let end = start + value.len();
         let is_sensitive = value.is_sensitive();
         // The bytes of a valid value are valid.
-        if let Ok(copy) = HeaderValue::from_bytes(value.as_bytes()) {
-            *value = copy;
+        if let Ok(copied) = HeaderValue::from_maybe_shared(copy.slice(start..end)) {
+            *value = copied;
             value.set_sensitive(is_sensitive);
         }
+        start = end;
     }
 }
--- a/balancer/src/memory_budget.rs
+++ b/balancer/src/memory_budget.rs
@@ -140,6 +140,9 @@
         bytes: usize,
         until: Instant,
     ) -> Option<MemoryReservation> {
+        if let Some(reservation) = self.try_reserve(memory_use, bytes) {
+            return Some(reservation);
+        }
         loop {
             let released = self.released.notified();
             if let Some(reservation) = self.try_reserve(memory_use, bytes) {
--- a/balancer/tests/headers.rs
+++ b/balancer/tests/headers.rs
@@ -1,8 +1,11 @@
 //! Parsing of load reports, and removal of the headers that are not forwarded.
 
-use frostkeel_balancer::headers::{CORRELATION_ID, load_report, strip_hop_by_hop};
+use bytes::Bytes;
+use frostkeel_balancer::headers::{
+    CORRELATION_ID, load_report, memory_bytes, release_receive_buffer, strip_hop_by_hop,
+};
 use frostkeel_policy::LoadField;
-use hyper::header::{CONNECTION, HeaderMap, TRANSFER_ENCODING};
+use hyper::header::{CONNECTION, COOKIE, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 
 #[test]
 fn load_report_values_follow_the_order_of_the_settings() {
@@ -30,3 +33,22 @@
     assert_eq!(headers.len(), 1);
     assert!(headers.contains_key(CORRELATION_ID));
 }
+
+/// Guards against parsed headers that keep the whole receive buffer of their connection until the
+/// final response to their request.
+#[test]
+fn copied_headers_are_unchanged_and_release_the_receive_buffer() {
+    let buffer = Bytes::from(vec![b'v'; 8 * 1024]);
+    let mut headers = HeaderMap::new();
+    for length in [0, 1, 300] {
+        let value = HeaderValue::from_maybe_shared(buffer.slice(..length)).unwrap();
+        headers.append(COOKIE, value);
+    }
+    headers.insert(CORRELATION_ID, "9b1f".parse().unwrap());
+    let before = headers.clone();
+    release_receive_buffer(&mut headers);
+    assert_eq!(headers, before);
+    drop(before);
+    assert!(buffer.is_unique(), "the receive buffer is still in use");
+    assert!(memory_bytes(&headers) > 300);
+}
