Limit the time of a whole request, so that head and body limits do not add up

Seen: a peer that completes its head after 2 s and then stops in the body got its error 4.5 s after connecting.

Cause: READ_TIMEOUT of 2.5 s began anew for the body when the head was complete.

Change: a request must be complete 2.75 s after its first byte, or after the accept for the first one on a connection. The limits of 2.5 s for head and body stay.

--- a/balancer/src/client/connection.rs
+++ b/balancer/src/client/connection.rs
@@ -20,6 +20,10 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until};
 
+/// The longest time from the first byte of a request, or from the accept for the first one, until the request must have
+/// been received completely. It is longer than the timeouts of head and body, and ensures that a client that sends no
+/// valid request gets an error response or a close within 3 s of connecting.
+const MAX_REQUEST_TIME: Duration = Duration::from_millis(2750);
 /// The time for which a closing connection waits for the rest of a partial request head.
 const HEAD_GRACE: Duration = Duration::from_millis(250);
 /// The time after its last byte for which a connection that closes to admit another one waits for the rest of a partial
@@ -49,6 +53,8 @@
 pub(super) struct ClientConnection {
     state: ClientState,
     activity: Cell<Activity>,
+    /// Until when the current request must have been received completely.
+    request_due_at: Cell<Instant>,
     /// Whether the connection must close: after the current response, or immediately if none is pending.
     close: watch::Sender<bool>,
     /// Whether the connection must close immediately.
@@ -61,6 +67,7 @@
         Rc::new(Self {
             state,
             activity: Cell::new(Activity::AwaitingFirst(Instant::now())),
+            request_due_at: Cell::new(Instant::now() + MAX_REQUEST_TIME),
             close: watch::Sender::new(false),
             abort: watch::Sender::new(false),
         })
@@ -169,6 +176,11 @@
         let _ = self.abort.subscribe().wait_for(|abort| *abort).await;
     }
 
+    /// Returns until when the current request must have been received completely.
+    pub(super) fn request_due_at(&self) -> Instant {
+        self.request_due_at.get()
+    }
+
     /// Returns since when a request, or the rest of one, has been awaited; `None` if nothing of a request has been
     /// received, or a response is pending.
     pub(super) fn incomplete_since(&self) -> Option<Instant> {
@@ -267,6 +279,11 @@
     /// the request.
     fn begin_request(&self) -> Instant {
         let now = Instant::now();
+        let began_at = match self.activity.get() {
+            Activity::AwaitingFirst(accepted_at) => accepted_at,
+            _ => self.state.head_since().unwrap_or(now),
+        };
+        self.request_due_at.set(began_at + MAX_REQUEST_TIME);
         self.activity.set(Activity::AwaitingBody(now));
         self.state.set_awaiting_head(false);
         self.state.take_unread_since().unwrap_or(now)
@@ -323,7 +340,7 @@
     }
 
     /// Returns the deadline for receiving the next request head.
-    fn request_due_at(&self) -> Instant {
+    fn head_due_at(&self) -> Instant {
         // While a request is in progress, this value only sets when the caller computes the deadline again.
         let idle_since = self.idle_since().unwrap_or_else(Instant::now);
         // After the first request, the timeout of a request head starts again at its first byte.
@@ -339,14 +356,14 @@
     /// before the received bytes are read.
     async fn idle_timeout(&self) {
         loop {
-            sleep_until(self.request_due_at()).await;
+            sleep_until(self.head_due_at()).await;
             // Yielding lets the I/O driver report bytes that have already arrived. They count even if this process runs
             // late.
             yield_now().await;
             if self.state.write_blocked_since().is_some() && !self.write_completes().await {
                 return;
             }
-            if self.idle_since().is_some() && Instant::now() >= self.request_due_at() {
+            if self.idle_since().is_some() && Instant::now() >= self.head_due_at() {
                 return;
             }
         }
--- a/balancer/src/client/request.rs
+++ b/balancer/src/client/request.rs
@@ -25,8 +25,7 @@
 const TRANSIT_TIME: Duration = Duration::from_millis(4);
 /// The maximum time left of a request; a longer one is reduced to this value.
 const MAX_TIME_LEFT_MS: u64 = 3_600_000;
-/// The timeout for receiving a request head, and for receiving a body. It ensures that a client that sends no valid
-/// request gets an error response or a close within 3 s of connecting.
+/// The timeout for receiving a request head, and for receiving a body.
 pub const READ_TIMEOUT: Duration = Duration::from_millis(2500);
 /// The longest time for which a request waits for memory until it is rejected.
 const MAX_MEMORY_WAIT: Duration = Duration::from_millis(100);
@@ -160,11 +159,12 @@
     }
 
     /// Reads a request, including its body, and validates it. Its deadline counts from `received_at`, the earliest time
-    /// at which the client can have sent it.
+    /// at which the client can have sent it. It must have been received completely at `due_at`.
     pub async fn read(
         &self,
         request: Request<Incoming>,
         received_at: Instant,
+        due_at: Instant,
     ) -> Result<ClientRequest, RequestError> {
         let (parts, body) = request.into_parts();
         let mut headers = parts.headers;
@@ -181,7 +181,7 @@
         drop(parts.uri);
         let memory = self.reserve(head_memory_bytes(&headers, &target)).await?;
         let until = received_at + time_left.min(READ_TIMEOUT);
-        let body = self.read_body(body, until).await?;
+        let body = self.read_body(body, until.min(due_at)).await?;
         let forwarded = ForwardedRequest {
             method: parts.method,
             target,
--- a/balancer/src/client/server.rs
+++ b/balancer/src/client/server.rs
@@ -188,7 +188,7 @@
     ) -> Response<Full<Bytes>> {
         let read = tokio::select! {
             biased;
-            read = self.requests.read(request, received_at) => read,
+            read = self.requests.read(request, received_at, client.request_due_at()) => read,
             () = client.close_requested() => Err(RequestError::TooManyConnections),
         };
         let request = match read {
--- a/balancer/tests/client_connections.rs
+++ b/balancer/tests/client_connections.rs
@@ -96,6 +96,25 @@
     assert!(upstream.requests().is_empty());
 }
 
+/// Guards against timeouts for head and body that add up: a client that completes the head just in
+/// time and then stops must get an error or a close within 3 s of connecting.
+#[test]
+fn time_limits_of_head_and_body_do_not_add_up() {
+    let upstream = Upstream::healthy();
+    let process = TestConfig::with_upstreams(&[upstream.address]).start();
+    let half_body = at_most_once_request(60_000, "half");
+    let half_body = half_body.replace("Content-Length: 4", "Content-Length: 9");
+    let (start, rest) = half_body.split_at(20);
+    let connected_at = Instant::now();
+    let mut client = process.connect();
+    client.write(start);
+    std::thread::sleep(Duration::from_millis(2000));
+    client.write(rest);
+    assert!(client.is_closed_or_responds());
+    let time = connected_at.elapsed();
+    assert!(time < Duration::from_secs(3), "open for {time:?}");
+}
+
 /// Connects clients that send only this part of a request, and stay.
 fn connect_stopped_clients(process: &BalancerProcess, part: &str) -> Vec<Client> {
     let connect = || {
