Close connections whose tables of headers have grown, and count response headers

Need: the HTTP library keeps the table of headers and the write buffer of the last head that a connection has sent. Only heads over 8 KiB closed their connection.

Change: a head of more than 32 fields counts as long too, in requests to upstreams and in responses to clients; its connection is not kept. The headers of a response are reserved until they are written.

Measured: memory_budget::connections_with_heads_of_many_or_long_fields_are_not_kept fails before (one connection for three requests of 80 fields) and passes. The growth itself was read in the library, not measured.

--- a/balancer/src/client/connection.rs
+++ b/balancer/src/client/connection.rs
@@ -202,6 +202,11 @@
         self.state.is_head_refused()
     }
 
+    /// Records that a long response head of this length is sent.
+    pub(super) fn send_long_head(&self, length: usize) {
+        self.state.send_long_head(length);
+    }
+
     /// Returns whether the buffers of the connection have grown, so that it should not be kept.
     pub(super) fn has_grown(&self) -> bool {
         self.state.has_long_head()
--- a/balancer/src/client/request.rs
+++ b/balancer/src/client/request.rs
@@ -1,7 +1,6 @@
 //! The reading and validation of client requests.
 
 use super::response::plain_response;
-use crate::head_memory::{LONG_HEAD_BYTES, MAX_SHORT_HEAD_BYTES};
 use crate::headers::{self, CORRELATION_ID, IDEMPOTENCY_KEY, RETRY, TENANT, TIME_LEFT, WORK_HINT};
 use crate::in_flight::ClientRequest;
 use crate::memory_budget::{MemoryBudget, MemoryReservation, MemoryUse};
@@ -313,13 +312,7 @@
     let path = target
         .path_and_query()
         .map_or(0, |path| path.as_str().len());
-    let bytes = headers::memory_bytes(headers) + path;
-    let long_head_bytes = if bytes > MAX_SHORT_HEAD_BYTES {
-        LONG_HEAD_BYTES
-    } else {
-        0
-    };
-    REQUEST_BYTES + HEADER_COPIES * bytes + long_head_bytes
+    REQUEST_BYTES + HEADER_COPIES * (headers::memory_bytes(headers) + path)
 }
 
 /// Returns the value of a header; `None` if it is missing or is not visible ASCII text.
--- a/balancer/src/client/server.rs
+++ b/balancer/src/client/server.rs
@@ -10,6 +10,8 @@
 use super::{Phase, receiver};
 use crate::error_origin::ErrorOrigin;
 use crate::event_loop::EventLoop;
+use crate::head_memory::is_long_head;
+use crate::headers;
 use crate::memory_budget::{MemoryBudget, UPSTREAM_CONNECTION_BYTES};
 use crate::rate_limited_log::RateLimitedLog;
 use crate::task_group::TaskGroup;
@@ -234,6 +236,10 @@
             "/health/ready" | "/health/live" => plain_response(StatusCode::OK, "ok"),
             _ => self.forward(request, received_at, client).await,
         };
+        let head_length = headers::text_bytes(response.headers());
+        if is_long_head(head_length, response.headers()) {
+            client.send_long_head(head_length);
+        }
         let is_last = client.is_flooded() || client.has_grown() || client.is_close_requested();
         if is_draining() || is_last {
             response
--- a/balancer/src/client/stream.rs
+++ b/balancer/src/client/stream.rs
@@ -148,7 +148,12 @@
         }
     }
 
-    /// Returns whether a long request head has been received, so that the connection's buffers have grown.
+    /// Records that a long response head of this length is sent.
+    pub(super) fn send_long_head(&self, length: usize) {
+        self.0.head.send_long(length);
+    }
+
+    /// Returns whether a long head has been received or sent, so that the connection's buffers have grown.
     pub(super) fn has_long_head(&self) -> bool {
         self.0.head.is_long()
     }
--- a/balancer/src/connection.rs
+++ b/balancer/src/connection.rs
@@ -1,7 +1,7 @@
 //! HTTP connections to upstreams and to discovery. Each counts the bytes that the kernel has accepted for sending.
 
 use crate::error_origin::retry_if_interrupted;
-use crate::head_memory::{HeadMemory, MAX_READ_BYTES, MAX_SHORT_HEAD_BYTES};
+use crate::head_memory::{HeadMemory, MAX_READ_BYTES, is_long_head};
 use crate::memory_budget::{MemoryBudget, MemoryUse};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -122,8 +122,6 @@
     task: AbortHandle,
     written: Rc<Cell<u64>>,
     head: Rc<HeadMemory>,
-    /// Whether a long head has been sent on the connection.
-    has_sent_long_head: bool,
     peer: SocketAddr,
 }
 
@@ -180,7 +178,6 @@
             task,
             written,
             head,
-            has_sent_long_head: false,
             peer,
         })
     }
@@ -203,7 +200,7 @@
     /// Returns whether a long head has been sent or received. The buffers of the connection have grown then, so it should
     /// not be kept for further requests.
     pub fn has_grown(&self) -> bool {
-        self.has_sent_long_head || self.head.is_long()
+        self.head.is_long()
     }
 
     /// Returns the number of bytes that the kernel has accepted for sending on this connection.
@@ -216,7 +213,10 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> hyper::Result<Response<Incoming>> {
-        self.has_sent_long_head |= head_length(&request) > MAX_SHORT_HEAD_BYTES as u64;
+        let length = head_length(&request);
+        if is_long_head(length, request.headers()) {
+            self.head.send_long(length);
+        }
         self.head.begin();
         let response = self.sender.send_request(request).await;
         self.head.complete();
@@ -233,11 +233,11 @@
 /// Returns the number of bytes that hyper writes for a request with a content length: request line, headers and body.
 pub fn wire_length(request: &Request<Full<Bytes>>) -> u64 {
     use hyper::body::Body;
-    head_length(request) + request.body().size_hint().exact().unwrap_or(0)
+    head_length(request) as u64 + request.body().size_hint().exact().unwrap_or(0)
 }
 
 /// Returns the number of bytes that hyper writes for the request line and the headers of a request.
-fn head_length(request: &Request<Full<Bytes>>) -> u64 {
+fn head_length(request: &Request<Full<Bytes>>) -> usize {
     let path = request
         .uri()
         .path_and_query()
@@ -247,5 +247,5 @@
     let headers: usize = headers
         .map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len())
         .sum();
-    (line + headers + "\r\n".len()) as u64
+    line + headers + "\r\n".len()
 }
--- a/balancer/src/head_memory.rs
+++ b/balancer/src/head_memory.rs
@@ -1,14 +1,18 @@
 //! The memory of message heads while they are received.
 //!
-//! The HTTP library keeps an incomplete head in the read buffer of its connection, which grows with the head. Short heads
-//! fit into the memory that is reserved for every connection; a longer one needs a reservation of its own.
+//! The HTTP library keeps an incomplete head in the read buffer of its connection, which grows with the head. It also keeps
+//! the write buffer and the table of headers of the last head that it has sent. Short heads fit into the memory that is
+//! reserved for every connection; a longer one needs a reservation of its own.
 
 use crate::memory_budget::{MemoryBudget, MemoryReservation, MemoryUse};
+use hyper::header::HeaderMap;
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
 
 /// The maximum length of a head that needs no reservation of its own.
 pub const MAX_SHORT_HEAD_BYTES: usize = 8 * 1024;
+/// The maximum number of headers of a head that needs no reservation of its own.
+const MAX_SHORT_HEAD_FIELDS: usize = 32;
 /// The memory of a longer head, at most four times the maximum length of a head: the read buffer, which doubles as it
 /// grows, the write buffer of the connection on which the head is forwarded, and the parsed headers.
 pub const LONG_HEAD_BYTES: usize = 128 * 1024;
@@ -16,6 +20,11 @@
 /// only if a read fills it or if a message head needs more space.
 pub const MAX_READ_BYTES: usize = 8 * 1024 - 1;
 
+/// Returns whether a head of this length and with these headers makes the buffers of a connection grow on which it is sent.
+pub fn is_long_head(length: usize, headers: &HeaderMap) -> bool {
+    length > MAX_SHORT_HEAD_BYTES || headers.len() > MAX_SHORT_HEAD_FIELDS
+}
+
 /// The memory of the head that a connection is receiving.
 pub struct HeadMemory {
     budget: Arc<MemoryBudget>,
@@ -69,7 +78,14 @@
         !self.is_refused.get()
     }
 
-    /// Returns whether a long head has been received on the connection, which must then be closed after the exchange.
+    /// Records that a long head of this length is sent on the connection.
+    pub fn send_long(&self, length: usize) {
+        // The head is already in memory, so it is sent even if the budget is spent. The write buffer doubles as it grows.
+        let reserve = || self.budget.force_reserve(self.memory_use, 2 * length);
+        self.reservation.borrow_mut().get_or_insert_with(reserve);
+    }
+
+    /// Returns whether a long head has been received or sent on the connection, which must then be closed after the exchange.
     pub fn is_long(&self) -> bool {
         self.reservation.borrow().is_some()
     }
--- a/balancer/src/headers.rs
+++ b/balancer/src/headers.rs
@@ -77,10 +77,15 @@
 
 /// Returns the memory of parsed headers.
 pub fn memory_bytes(headers: &HeaderMap) -> usize {
+    text_bytes(headers) + headers.len() * HEADER_OVERHEAD_BYTES
+}
+
+/// Returns the length of the names and values of headers.
+pub fn text_bytes(headers: &HeaderMap) -> usize {
     let headers = headers.iter();
-    let bytes =
-        headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_OVERHEAD_BYTES);
-    bytes.sum()
+    headers
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum()
 }
 
 /// Copies the values of headers into one block of memory. Parsed values are slices of the receive buffer of their
--- a/balancer/src/upstream/attempt.rs
+++ b/balancer/src/upstream/attempt.rs
@@ -9,6 +9,7 @@
 use super::exchange::{ExchangeError, ForwardedRequest, exchange};
 use crate::connection::wire_length;
 use crate::headers::{self, CORRELATION_ID, LOAD_REPORT, UNPROCESSED};
+use crate::memory_budget::{MemoryReservation, MemoryUse};
 use bytes::Bytes;
 use frostkeel_policy::{LoadReports, Outcome, UpstreamId};
 use http_body_util::Full;
@@ -38,6 +39,8 @@
     pub headers: HeaderMap,
     /// The complete response body; empty if there is none.
     pub body: Bytes,
+    /// The reservation for the memory of the headers.
+    _memory: MemoryReservation,
 }
 
 /// The result of an attempt or a health check.
@@ -222,7 +225,13 @@
             _ => Outcome::Error,
         };
         headers::strip_hop_by_hop(&mut headers);
-        let response = (outcome == Outcome::Ok).then_some(UpstreamResponse { headers, body });
+        let response = (outcome == Outcome::Ok).then(|| UpstreamResponse {
+            _memory: self
+                .memory
+                .force_reserve(MemoryUse::Exchange, headers::memory_bytes(&headers)),
+            headers,
+            body,
+        });
         AttemptResult {
             outcome,
             response,
--- a/balancer/tests/memory_budget.rs
+++ b/balancer/tests/memory_budget.rs
@@ -5,8 +5,8 @@
 mod common;
 
 use common::{
-    BalancerProcess, Behavior, Client, TestConfig, TestServer, Upstream, at_most_once_request,
-    idempotent_request,
+    BalancerProcess, Behavior, COOLDOWN_WAIT, Client, TestConfig, TestServer, Upstream,
+    at_most_once_request, idempotent_request,
 };
 use frostkeel_balancer::memory_budget::{CLIENT_CONNECTION_BYTES, MemoryBudget, MemoryUse};
 use std::collections::BTreeMap;
@@ -127,6 +127,33 @@
     process.wait_for_status(&request, 200);
 }
 
+/// Guards against connections that stay open with what a head of many or long fields has made them
+/// keep: the tables of headers and the write buffers of the HTTP library.
+#[test]
+fn connections_with_heads_of_many_or_long_fields_are_not_kept() {
+    let fields: String = (0..80).map(|field| format!("a{field}: b\r\n")).collect();
+    let long_field = format!("x-long: {}\r\n", "z".repeat(10_000));
+    let response = format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: 0\r\n\r\n");
+    let response: &'static str = Box::leak(response.into_boxed_str());
+    for (added, is_kept) in [("", true), (&fields[..], false), (&long_field[..], false)] {
+        let upstream = Upstream::healthy();
+        let process = TestConfig::with_upstreams(&[upstream.address]).start();
+        let request = idempotent_request(8000).replace("Host", &format!("{added}Host"));
+        for _ in 0..3 {
+            assert_eq!(process.status_of(&request), 200);
+            std::thread::sleep(COOLDOWN_WAIT);
+        }
+        let expected = if is_kept { 1 } else { 3 };
+        assert_eq!(upstream.connection_count(), expected, "{added:?}");
+    }
+    let upstream = Upstream::start(Behavior::Respond(response));
+    let process = TestConfig::with_upstreams(&[upstream.address]).start();
+    let mut client = process.connect();
+    let received = client.exchange(&idempotent_request(8000));
+    assert_eq!(received.header("connection"), Some("close"));
+    assert!(client.is_closed_without_data());
+}
+
 /// Sends a request on a new connection to the server, and returns the beginning of the response.
 async fn exchange(server: &TestServer, request: &[u8]) -> String {
     let mut client = TcpStream::connect(server.address).await.unwrap();
