Answer 503 on a connection without memory, and let rejected clients read it

Cause: guaranteed connections were all in use, and a new one without memory was closed unread. A client whose long request was rejected and that took more than 0.15 s to write the rest had its connection reset, and the reset discarded the 503.

Change: a connection that has its permit but no memory gets a 503 that is written directly; nothing is read on it. After the last response, bytes are discarded for up to 2 s as long as the client sends at least 4 KiB in 0.15 s.

A first form that waited for any byte held connections of clients that trickle, and clients_that_trickle_a_body_do_not_delay_others failed; it passes in 3 of 3 now.

--- a/balancer/src/client/connection.rs
+++ b/balancer/src/client/connection.rs
@@ -6,6 +6,7 @@
 use super::handler::RequestHandler;
 use super::receiver::ClientReceiver;
 use super::request::READ_TIMEOUT;
+use super::response::NO_MEMORY_RESPONSE;
 use super::stream::{ClientState, ClientStream};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -44,11 +45,6 @@
 /// The size of a connection's buffer, which is also the maximum length of a request head.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
-/// The response to a request whose head there is no memory for. It is written directly, because the HTTP library responds
-/// only to complete heads.
-const NO_MEMORY_RESPONSE: &[u8] =
-    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
-
 /// The state of a client's connection.
 pub(super) struct ClientConnection {
     state: ClientState,
--- a/balancer/src/client/open_connections.rs
+++ b/balancer/src/client/open_connections.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// The fraction of the connection limit that is kept free for new connections by closing inactive ones.
 const RESERVED_FRACTION: f64 = 0.125;
@@ -26,6 +26,8 @@
 /// The memory that is expected to be released when a connection without a complete request is closed: that of a long
 /// body and its headers.
 const REQUEST_BODY_BYTES: usize = 64 * 1024;
+/// The memory of a connection on which no request is read.
+const REJECTED_CONNECTION_BYTES: usize = 4 * 1024;
 /// The time for which a client may send nothing of an incomplete request, and the time that the request may take in
 /// total, until its connection can be closed to reclaim memory.
 const MIN_REQUEST_STALL: Duration = Duration::from_millis(100);
@@ -42,6 +44,15 @@
     _memory: MemoryReservation,
 }
 
+/// Whether a new connection can be served.
+pub(super) enum Admission {
+    Admitted(AdmissionPermit),
+    /// The connection has its permit, but there is no memory to read a request on it.
+    NoMemory(AdmissionPermit),
+    /// The limit on connections is reached.
+    NoPermit,
+}
+
 /// The open client connections.
 pub(super) struct OpenConnections {
     limit: Rc<ConnectionLimit>,
@@ -75,9 +86,9 @@
         self.limit.open_count()
     }
 
-    /// Waits for a permit for a new connection, and closes inactive connections if few permits are left. Returns `None`
-    /// if no permit is available although `has_expired` returns true.
-    pub(super) async fn admit(&self, has_expired: impl Fn() -> bool) -> Option<AdmissionPermit> {
+    /// Waits for a permit and the memory for a new connection, until `has_expired` returns true, and closes inactive
+    /// connections if few permits are left.
+    pub(super) async fn admit(&self, has_expired: impl Fn() -> bool) -> Admission {
         let mut wanted = self.reserved;
         loop {
             self.close_inactive(wanted);
@@ -86,30 +97,48 @@
             } else {
                 SEARCH_INTERVAL
             };
-            if let Ok(permit) = timeout(max_wait, self.permit()).await {
-                return Some(permit);
+            let permit = self.limit.acquire(|| ());
+            if let Ok(permit) = timeout(max_wait, permit).await {
+                return self.admit_with_permit(permit, has_expired).await;
             }
             if has_expired() {
-                return None;
+                return Admission::NoPermit;
             }
             wanted = wanted.saturating_mul(SEARCH_GROWTH).min(self.max_open);
         }
     }
 
-    /// Waits for a permit and the memory for a new connection.
-    async fn permit(&self) -> AdmissionPermit {
-        let connection = self.limit.acquire(|| ()).await;
-        let (memory_use, bytes) = (MemoryUse::ClientConnection, CLIENT_CONNECTION_BYTES);
+    /// Waits for the memory of a connection that has its permit, until `has_expired` returns true.
+    async fn admit_with_permit(
+        &self,
+        connection: ConnectionPermit,
+        has_expired: impl Fn() -> bool,
+    ) -> Admission {
+        let memory_use = MemoryUse::ClientConnection;
         loop {
-            let released = self.memory.released();
-            if let Some(memory) = self.memory.try_reserve(memory_use, bytes) {
-                return AdmissionPermit {
+            let max_wait = if has_expired() {
+                Duration::ZERO
+            } else {
+                SEARCH_INTERVAL
+            };
+            let until = Instant::now() + max_wait;
+            let reserved = self
+                .memory
+                .reserve(memory_use, CLIENT_CONNECTION_BYTES, until);
+            if let Some(memory) = reserved.await {
+                return Admission::Admitted(AdmissionPermit {
                     _connection: connection,
                     _memory: memory,
-                };
+                });
+            }
+            if has_expired() {
+                return Admission::NoMemory(AdmissionPermit {
+                    _connection: connection,
+                    _memory: self
+                        .memory
+                        .force_reserve(memory_use, REJECTED_CONNECTION_BYTES),
+                });
             }
-            self.reclaim_memory(bytes);
-            released.await;
         }
     }
 
--- a/balancer/src/client/receiver.rs
+++ b/balancer/src/client/receiver.rs
@@ -19,7 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::task::coop;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 
 /// The maximum number of bytes that are read at a time.
 const READ_SIZE_BYTES: usize = 4 * 1024;
@@ -36,6 +36,11 @@
     has_read_all: bool,
 }
 
+/// The time in which a client must send at least [`MIN_DISCARDED_BYTES`], so that further bytes are discarded. A client that
+/// sends less does not keep its connection open.
+const DISCARD_INTERVAL: Duration = Duration::from_millis(150);
+const MIN_DISCARDED_BYTES: usize = 4 * 1024;
+
 /// Splits a client's connection into its two sides and its state. `unread_since` is the time since when bytes that can
 /// be read now may have been received; `None` if there are none. What the client sends is reserved in `memory`.
 pub(super) fn split(
@@ -121,12 +126,20 @@
         let _ = self.reader.as_ref().try_write(response);
     }
 
-    /// Discards further bytes until the client closes the connection or `max_time` has passed. Closing a connection
-    /// with unread bytes resets it, and the reset may discard the last response. The direction to the client must have
-    /// been shut down before.
+    /// Discards further bytes until the client closes the connection, sends slowly, or `max_time` has passed. Closing a
+    /// connection with unread bytes resets it, and the reset may discard the last response. The direction to the client
+    /// must have been shut down before.
     pub(super) async fn discard_rest(mut self, max_time: Duration) {
-        // After a timeout, the connection is closed although the client still sends or keeps it open.
-        let _ = timeout(max_time, poll_fn(|cx| self.poll_discard(cx))).await;
+        let end = Instant::now() + max_time;
+        loop {
+            let discarded_before = self.discarded_bytes;
+            let until = (Instant::now() + DISCARD_INTERVAL).min(end);
+            let has_ended = timeout_at(until, poll_fn(|cx| self.poll_discard(cx))).await;
+            let is_slow = self.discarded_bytes - discarded_before < MIN_DISCARDED_BYTES;
+            if has_ended.is_ok() || is_slow || Instant::now() >= end {
+                return;
+            }
+        }
     }
 
     fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
--- a/balancer/src/client/response.rs
+++ b/balancer/src/client/response.rs
@@ -6,6 +6,11 @@
 use hyper::header::RETRY_AFTER;
 use hyper::{Response, StatusCode};
 
+/// The response on a connection on which there is no memory to read a request. It is written directly, because the HTTP
+/// library responds only to complete heads.
+pub(super) const NO_MEMORY_RESPONSE: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
 /// Returns a response that the balancer generates itself, with `text` as its body.
 pub fn plain_response(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
--- a/balancer/src/client/server.rs
+++ b/balancer/src/client/server.rs
@@ -3,9 +3,9 @@
 use super::accept::{AcceptQueue, AcceptedConnection};
 use super::connection::ClientConnection;
 use super::handler::RequestHandler;
-use super::open_connections::OpenConnections;
+use super::open_connections::{Admission, OpenConnections};
 use super::request::{RequestError, RequestReader};
-use super::response::{into_http_response, plain_response};
+use super::response::{NO_MEMORY_RESPONSE, into_http_response, plain_response};
 use super::turns::Turns;
 use super::{Phase, receiver};
 use crate::error_origin::ErrorOrigin;
@@ -38,8 +38,8 @@
 /// retries would fail again and again and use all CPU time.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// The longest time for which further client data is read and discarded after the last response, so that the client can
-/// receive the response before the connection is closed.
-const LINGER: Duration = Duration::from_millis(150);
+/// receive the response before the connection is closed. A client whose request was rejected may still be writing its body.
+const MAX_LINGER: Duration = Duration::from_secs(2);
 
 /// The HTTP server that accepts the connections of clients.
 pub struct Server {
@@ -125,17 +125,36 @@
         let has_expired = || {
             *self.phase.borrow() == Phase::Serving && connection.max_queue_time() >= MAX_QUEUE_TIME
         };
-        let Some(permit) = self.connections.admit(has_expired).await else {
-            return self.shut_unread(connection).await;
-        };
+        let admission = self.connections.admit(has_expired).await;
         let max_queue_time = connection.max_queue_time();
         let open = self.connections.count();
         tracing::debug!(open, ?max_queue_time, "client connection accepted");
-        let server = Rc::clone(self);
-        tasks.spawn(async move {
-            server.serve_client(connection).await;
-            drop(permit);
-        });
+        match admission {
+            Admission::Admitted(permit) => {
+                let server = Rc::clone(self);
+                tasks.spawn(async move {
+                    server.serve_client(connection).await;
+                    drop(permit);
+                });
+            }
+            Admission::NoMemory(permit) => {
+                let server = Rc::clone(self);
+                tasks.spawn(async move {
+                    server.reject_unread(connection).await;
+                    drop(permit);
+                });
+            }
+            Admission::NoPermit => self.shut_unread(connection).await,
+        }
+    }
+
+    /// Responds on a connection on which no request can be read, because there is no memory for one.
+    async fn reject_unread(&self, connection: AcceptedConnection) {
+        let (stream, receiver, _) = receiver::split(connection.stream, None, &self.memory);
+        receiver.respond(NO_MEMORY_RESPONSE);
+        // Dropping the stream shuts down the direction to the client.
+        drop(stream);
+        receiver.discard_rest(MAX_LINGER).await;
     }
 
     /// Closes a connection on which nothing has been read, because the connection limit is reached and no connection
@@ -177,7 +196,7 @@
         client.serve(stream, &mut receiver, &self, phase).await;
         if client.could_lose_response() || client.is_head_refused() {
             client.request_close();
-            receiver.discard_rest(LINGER).await;
+            receiver.discard_rest(MAX_LINGER).await;
         }
         self.connections.remove(number);
     }
--- a/balancer/tests/memory_budget.rs
+++ b/balancer/tests/memory_budget.rs
@@ -185,6 +185,21 @@
     assert!(in_time.await.is_ok(), "{} bytes", memory.reserved_bytes());
 }
 
+/// Guards against a connection that is closed without a response because there is no memory to read
+/// a request on it.
+#[tokio::test(flavor = "local")]
+async fn rejects_on_a_connection_without_memory() {
+    let memory = MemoryBudget::new(CLIENT_CONNECTION_BYTES - 1, 0);
+    let server = TestServer::start_with_memory(4, &memory).await;
+    for request in [
+        idempotent_request(8000),
+        at_most_once_request(8000, &"x".repeat(BODY_BYTES)),
+    ] {
+        let response = exchange(&server, request.as_bytes()).await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response:?}");
+    }
+}
+
 /// Guards against requests that leave no memory for the connections of other clients, or for the
 /// responses without which their own memory is never released.
 #[test]
