Measure the drawn peers by the protocol's times, and let them leave processors free

The others were of the test: a request's time counted from before it was written, where the protocol counts from its last byte; slow writers wrote on after their connection had ended; and flooding peers used six of eight cores (257 s of CPU in 42 s), so that the balancer and the clients were held up.

Change: times count from the last byte sent, slow writers stop when the connection has ended, floods pause 2 ms between writes and last 0.5 s, and a kind of peer with 94 complete fields joins. No bound was changed.

--- a/balancer/tests/common/client.rs
+++ b/balancer/tests/common/client.rs
@@ -4,7 +4,7 @@
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The size requested for the buffers of sockets that must not hold a complete response.
 pub const SMALL_BUFFER_BYTES: usize = 2048;
@@ -94,17 +94,29 @@
         self.read_response().expect("a response")
     }
 
-    /// Sends a request like [`Self::exchange`]; `None` if there is no response, also on the new
-    /// connection.
-    pub fn try_exchange(&mut self, request: &str) -> Option<Message> {
-        if self.reader.get_mut().write_all(request.as_bytes()).is_ok()
-            && let Some(response) = self.read_response()
-        {
-            return Some(response);
+    /// Sends a request like [`Self::exchange`]. Returns the response, or `None` if there is none on the
+    /// new connection either, and the time since the last byte of the request was sent.
+    pub fn try_exchange(&mut self, request: &str) -> (Option<Message>, Duration) {
+        if self.reader.get_mut().write_all(request.as_bytes()).is_ok() {
+            let sent_at = Instant::now();
+            if let Some(response) = self.read_response() {
+                return (Some(response), sent_at.elapsed());
+            }
         }
         *self = Self::connect(self.address);
-        self.reader.get_mut().write_all(request.as_bytes()).ok()?;
-        self.read_response()
+        // The balancer may respond before it has read all of the request.
+        let _ = self.reader.get_mut().write_all(request.as_bytes());
+        let sent_at = Instant::now();
+        (self.read_response(), sent_at.elapsed())
+    }
+
+    /// Returns whether the balancer has sent something, or has closed the connection.
+    pub fn has_ended(&self) -> bool {
+        let stream = self.reader.get_ref();
+        stream.set_nonblocking(true).unwrap();
+        let peeked = stream.peek(&mut [0; 1]);
+        stream.set_nonblocking(false).unwrap();
+        !peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
     }
 
     /// Discards the bytes that have been received.
--- a/balancer/tests/drawn_peers/clients.rs
+++ b/balancer/tests/drawn_peers/clients.rs
@@ -21,6 +21,7 @@
     is_at_most_once: bool,
     /// The status of the response; `None` if there was none.
     status: Option<u16>,
+    /// The time since the last byte of the request.
     time: Duration,
     /// Whether a response of status 200 is the one to this request.
     is_own: bool,
@@ -48,7 +49,14 @@
             *counts.entry(outcome.status).or_default() += 1;
         }
         let longest = outcomes.iter().map(|outcome| outcome.time).max();
-        format!("statuses {counts:?}, longest time {longest:?}")
+        let slow = outcomes
+            .iter()
+            .filter(|outcome| outcome.time > TIME_LEFT / 2);
+        let slow = slow.count();
+        format!(
+            "statuses {counts:?}, {slow} over {:?}, longest {longest:?}",
+            TIME_LEFT / 2
+        )
     }
 
     /// Returns the requests that were treated against the rules.
@@ -104,14 +112,13 @@
         } else {
             idempotent_request(3000).replace("77aa", &id)
         };
-        let start = Instant::now();
-        let response = client.try_exchange(&request);
+        let (response, time) = client.try_exchange(&request);
         let outcome = Outcome {
             is_own: response
                 .as_ref()
                 .is_some_and(|response| is_response_to(response, &id)),
             status: response.map(|response| response.status()),
-            time: start.elapsed(),
+            time,
             id,
             is_at_most_once,
         };
@@ -130,7 +137,7 @@
     let mut served = 0;
     for number in 0.. {
         let request = request_with_id(&format!("after-{number}"), 65_536);
-        let response = Client::connect(process.address).try_exchange(&request);
+        let (response, _) = Client::connect(process.address).try_exchange(&request);
         let is_served = response.is_some_and(|response| response.status() == 200);
         served = if is_served { served + 1 } else { 0 };
         if served == 5 || start.elapsed() > time {
--- a/balancer/tests/drawn_peers/peers.rs
+++ b/balancer/tests/drawn_peers/peers.rs
@@ -14,6 +14,9 @@
 /// connecting; the rest is for the threads of this test.
 const MAX_OPEN_TIME: Duration = Duration::from_millis(3000 + 500);
 const MAX_PAUSE_MS: u64 = 400;
+/// The time between two writes of a flooding peer, so that the threads of this test leave the
+/// processors to the balancer.
+const FLOOD_PAUSE: Duration = Duration::from_millis(2);
 
 /// What a peer does on one connection.
 #[derive(Clone, Copy, Debug)]
@@ -23,6 +26,7 @@
     StopInBody,
     WriteSlowly,
     ShortFields,
+    ManyFields,
     LongHead,
     LongTrailers,
     Garbage,
@@ -33,12 +37,13 @@
     LeaveAndRepeat,
 }
 
-const BEHAVIORS: [Behavior; 13] = [
+const BEHAVIORS: [Behavior; 14] = [
     Behavior::Silent,
     Behavior::StopInHead,
     Behavior::StopInBody,
     Behavior::WriteSlowly,
     Behavior::ShortFields,
+    Behavior::ManyFields,
     Behavior::LongHead,
     Behavior::LongTrailers,
     Behavior::Garbage,
@@ -130,6 +135,7 @@
             }
             Behavior::WriteSlowly => self.write_slowly(incomplete),
             Behavior::ShortFields => self.write_short_fields(),
+            Behavior::ManyFields => self.send_many_fields(),
             Behavior::LongHead => {
                 let value = "z".repeat(self.random.usize(5000..40_000));
                 self.write(&format!("GET /look HTTP/1.1\r\nX: {value}"));
@@ -151,7 +157,8 @@
         }
         !matches!(
             behavior,
-            Behavior::UnreadResponses
+            Behavior::ManyFields
+                | Behavior::UnreadResponses
                 | Behavior::Flood
                 | Behavior::NewNames
                 | Behavior::LeaveInBody
@@ -171,8 +178,7 @@
         let start = Instant::now();
         let piece_bytes = self.random.usize(1..4000);
         for piece in bytes.chunks(piece_bytes) {
-            // The balancer ends the request before this.
-            if self.is_stopped() || start.elapsed() > Duration::from_secs(3) {
+            if self.is_stopped() || self.client.has_ended() || start.elapsed() > MAX_OPEN_TIME {
                 return;
             }
             self.client.write_nonblocking(piece);
@@ -186,6 +192,18 @@
         self.write(&format!("GET /look HTTP/1.1\r\n{fields}"));
     }
 
+    /// Sends complete requests with as many fields as the balancer reads, and waits for the responses.
+    fn send_many_fields(&mut self) {
+        let fields: String = (0..94).map(|field| format!("a{field}: b\r\n")).collect();
+        for number in 0..self.random.usize(1..5) {
+            let request = idempotent_request(3000).replace("Host", &format!("{fields}Host"));
+            self.write(&request.replace("77aa", &format!("fields-{}-{number}", self.id)));
+            if self.client.read_response().is_none() {
+                return;
+            }
+        }
+    }
+
     fn write_long_trailers(&mut self) {
         let head = request_with_id(&format!("{INCOMPLETE}{}", self.id), 1);
         let head = head.replace(
@@ -236,10 +254,11 @@
     }
 
     fn send_repeatedly(&mut self, requests: &str) {
-        let end = Instant::now() + Duration::from_millis(self.random.u64(..2000));
+        let end = Instant::now() + Duration::from_millis(self.random.u64(..500));
         while Instant::now() < end && !self.is_stopped() {
             self.write(requests);
             self.client.discard_received();
+            std::thread::sleep(FLOOD_PAUSE);
         }
     }
 
