--- a/balancer/src/client/open_connections.rs
+++ b/balancer/src/client/open_connections.rs
@@ -205,12 +205,10 @@
             return 0;
         }
         let mut closing = 0;
-        let mut close = |client: &Rc<ClientConnection>| {
-            if missing > 0 {
-                missing = missing.saturating_sub(held_bytes(client));
-                closing += 1;
-                client.request_close();
-            }
+        let mut count = |client: &Rc<ClientConnection>| {
+            missing = missing.saturating_sub(held_bytes(client));
+            closing += 1;
+            missing > 0
         };
         let mut closable: Vec<_> = clients
             .values()
@@ -221,15 +219,18 @@
             let since = incomplete_since.or(client.idle_since());
             (incomplete_since.is_none(), since)
         });
-        closable.into_iter().for_each(&mut close);
-        if missing > 0 {
-            let stalled = |client: &&Rc<ClientConnection>| {
-                client.write_blocked_for() >= MIN_RECLAIM_STALL && !client.is_aborted()
-            };
-            for client in clients.values().filter(stalled) {
-                missing = missing.saturating_sub(held_bytes(client));
-                closing += 1;
-                client.abort();
+        let is_wanted = closable.into_iter().all(|client| {
+            client.request_close();
+            count(client)
+        });
+        let is_stalled = |client: &&Rc<ClientConnection>| {
+            client.write_blocked_for() >= MIN_RECLAIM_STALL && !client.is_aborted()
+        };
+        let mut stalled = clients.values().filter(is_stalled);
+        while is_wanted && let Some(client) = stalled.next() {
+            client.abort();
+            if !count(client) {
+                break;
             }
         }
         let reserved = self.memory.reserved_bytes();
--- a/balancer/src/memory_budget.rs
+++ b/balancer/src/memory_budget.rs
@@ -99,11 +99,6 @@
         Self::new(usize::MAX / 2, 0)
     }
 
-    /// Returns the total size of the budget in bytes.
-    pub fn total_bytes(&self) -> usize {
-        self.total_bytes
-    }
-
     /// Returns the number of reserved bytes.
     pub fn reserved_bytes(&self) -> usize {
         let client_bytes = self.client_bytes.load(Ordering::Relaxed);
@@ -158,11 +153,6 @@
         }
     }
 
-    /// Waits until memory has been released.
-    pub async fn released(&self) {
-        self.released.notified().await;
-    }
-
     /// Waits until a reclaim is requested, and returns the number of bytes that are wanted.
     pub async fn reclaim_requested(&self) -> usize {
         self.reclaim_requested.notified().await;
