Serve on when the reader of the log has ended

Cause: tracing-subscriber reports a line that it cannot write with eprintln, which panics if standard error fails.

Change: these reports are off in the balancer and in the command line, so such a line is lost.

Measured: process_lifecycle::serves_on_when_the_reader_of_its_log_has_ended fails before and passes, with the three others of that file.

--- a/balancer/src/main.rs
+++ b/balancer/src/main.rs
@@ -26,6 +26,8 @@
         .with_writer(std::io::stderr)
         .with_ansi(false)
         .with_max_level(level.unwrap_or(LevelFilter::INFO))
+        // Otherwise a line that cannot be written is reported on standard error too, which ends the process.
+        .log_internal_errors(false)
         .init();
     match run() {
         Ok(()) => ExitCode::SUCCESS,
--- a/balancer/tests/process_lifecycle.rs
+++ b/balancer/tests/process_lifecycle.rs
@@ -7,6 +7,7 @@
     endpoint_json, endpoint_list_json, wait_until,
 };
 use std::process::{Command, Stdio};
+use std::time::Duration;
 
 /// After SIGTERM, the balancer must report that it is not ready, close each connection after its
 /// next response, send a final response to each request in flight, and exit.
@@ -106,3 +107,22 @@
     let without_config = balancer_command().env_remove("NODE_CONFIG").output();
     assert!(!without_config.unwrap().status.success());
 }
+
+/// Guards against a balancer that ends because nobody reads its log any more.
+#[test]
+fn serves_on_when_the_reader_of_its_log_has_ended() {
+    let name = format!("frostkeel-balancer-log-{}.json", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    // Discovery is unreachable, so the balancer logs a failed watch several times a second.
+    std::fs::write(&path, TestConfig::with_upstreams(&[]).to_json()).unwrap();
+    let mut command = balancer_command();
+    command.env("NODE_CONFIG", &path).stderr(Stdio::piped());
+    let mut child = command.spawn().unwrap();
+    drop(child.stderr.take());
+    std::thread::sleep(Duration::from_secs(2));
+    let ended = child.try_wait().unwrap();
+    child.kill().unwrap();
+    child.wait().unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert!(ended.is_none(), "the balancer has ended: {ended:?}");
+}
--- a/frostkeel/src/main.rs
+++ b/frostkeel/src/main.rs
@@ -110,7 +110,9 @@
     let log = tracing_subscriber::fmt()
         .with_writer(std::io::stderr)
         .with_ansi(false)
-        .with_max_level(level);
+        .with_max_level(level)
+        // Otherwise a line that cannot be written is reported on standard error too, which ends the process.
+        .log_internal_errors(false);
     match format {
         LogFormat::Text => log.init(),
         LogFormat::Json => log.json().init(),
