--- a/balancer/src/abandoned_requests.rs
+++ b/balancer/src/abandoned_requests.rs
@@ -19,7 +19,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RequestDigest(u64);
 
-/// The abandoned requests of the last [`RETENTION`].
+/// The requests that were abandoned recently.
 #[derive(Default)]
 pub struct AbandonedRequests {
     hasher: RandomState,
