--- a/balancer/src/client/connection.rs
+++ b/balancer/src/client/connection.rs
@@ -21,9 +21,8 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until};
 
-/// The longest time from the first byte of a request, or from the accept for the first one, until the request must have
-/// been received completely. It is longer than the timeouts of head and body, and ensures that a client that sends no
-/// valid request gets an error response or a close within 3 s of connecting.
+/// The longest time from the first byte of a request, or from the accept for the first one, until it must be complete. A
+/// client that sends no valid request is owed an error response or a close within 3 s of connecting.
 const MAX_REQUEST_TIME: Duration = Duration::from_millis(2750);
 /// The time for which a closing connection waits for the rest of a partial request head.
 const HEAD_GRACE: Duration = Duration::from_millis(250);
--- a/tests/endpoint_lease.rs
+++ b/tests/endpoint_lease.rs
@@ -1,6 +1,5 @@
-//! The lease on the endpoint list, in simulated time: how it expires and how it is renewed. A
-//! simulated fleet polls a discovery that answers one poll after another, after all watches have
-//! stopped delivering data just when an upstream begins to drain.
+//! The lease on the endpoint list, in simulated time: how it expires and is renewed. A fleet polls a
+//! discovery that answers one by one, after all watches stop just when an upstream begins to drain.
 
 mod common;
 
@@ -337,9 +336,7 @@
     assert!(sends(&mut harness), "the lease must be restored");
 }
 
-/// Guards against an overloaded discovery that counts as down. A poll that is rejected after it has
-/// waited in the queue has reached discovery. What it would have brought counts as notified 6 s
-/// after the list was last current.
+/// Guards against an overloaded discovery, which rejects polls that have waited, counting as down.
 #[test]
 fn lease_expires_while_polls_are_rejected_after_a_wait() {
     for (event, expires_at) in [
